--- /dev/null
+++ b/src/net/event.cpp
@@ -0,0 +1,79 @@
+#include "net/event.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <stdexcept>
+#include <utility>
+
+namespace hingelink::net {
+
+BasePtr MakeBase() {
+  const std::unique_ptr<event_config, decltype(&event_config_free)> config(event_config_new(),
+                                                                           &event_config_free);
+  if (!config) throw std::runtime_error("libevent: no memory for a configuration");
+  event_config_set_flag(config.get(), EVENT_BASE_FLAG_NO_CACHE_TIME);
+  event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+  BasePtr base(event_base_new_with_config(config.get()));
+  if (!base) throw std::runtime_error("libevent: no event base");
+  return base;
+}
+
+timeval ToTimeval(Steady::duration span) {
+  const auto us = std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::microseconds>(span).count());
+  return {static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
+}
+
+Timer::Timer(event_base* base, std::function<void()> fire)
+    : fire_(std::move(fire)),
+      event_(evtimer_new(
+          base, [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire_(); }, this)) {
+  if (!event_) throw std::runtime_error("libevent: no timer");
+}
+
+void Timer::After(Steady::duration span) {
+  const timeval in = ToTimeval(span);
+  evtimer_add(event_.get(), &in);
+}
+
+void Timer::Stop() { evtimer_del(event_.get()); }
+
+sockaddr_in ParseAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  std::uint16_t port = 0;
+  if (colon != std::string::npos) {
+    const char* last = text.data() + text.size();
+    const auto [end, fault] = std::from_chars(text.data() + colon + 1, last, port);
+    if (fault == std::errc() && end == last &&
+        inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1) {
+      address.sin_port = htons(port);
+      return address;
+    }
+  }
+  throw std::invalid_argument("address '" + text + "' is not of the form 127.0.0.1:80");
+}
+
+void SetNoDelay(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+std::string_view Arrived(bufferevent* bev) {
+  evbuffer* in = bufferevent_get_input(bev);
+  const std::size_t size = evbuffer_get_length(in);
+  if (size == 0) return {};
+  return {reinterpret_cast<const char*>(evbuffer_pullup(in, -1)), size};
+}
+
+void Consume(bufferevent* bev, std::size_t bytes) { evbuffer_drain(bufferevent_get_input(bev), bytes); }
+
+std::size_t Unsent(bufferevent* bev) { return evbuffer_get_length(bufferevent_get_output(bev)); }
+
+void Send(bufferevent* bev, std::string_view bytes) { bufferevent_write(bev, bytes.data(), bytes.size()); }
+
+}  // namespace hingelink::net
--- /dev/null
+++ b/src/net/event.h
@@ -0,0 +1,64 @@
+// libevent's objects held by RAII, and spans as std::chrono types.
+#ifndef HINGELINK_NET_EVENT_H_
+#define HINGELINK_NET_EVENT_H_
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace hingelink::net {
+
+using Steady = std::chrono::steady_clock;
+
+struct Free {
+  void operator()(event_base* base) const { event_base_free(base); }
+  void operator()(event* e) const { event_free(e); }
+  void operator()(bufferevent* bev) const { bufferevent_free(bev); }
+  void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+};
+using BasePtr = std::unique_ptr<event_base, Free>;
+using EventPtr = std::unique_ptr<event, Free>;
+using BufferPtr = std::unique_ptr<bufferevent, Free>;
+using ListenerPtr = std::unique_ptr<evconnlistener, Free>;
+
+// A base without libevent's cached time, which grows stale while one round of callbacks runs. Throws
+// std::runtime_error.
+BasePtr MakeBase();
+
+timeval ToTimeval(Steady::duration span);
+
+// Fires once, `span` after the last After().
+class Timer {
+ public:
+  Timer(event_base* base, std::function<void()> fire);
+  void After(Steady::duration span);
+  void Stop();
+
+ private:
+  std::function<void()> fire_;
+  EventPtr event_;
+};
+
+// An address of the form 127.0.0.1:80. Throws std::invalid_argument that names the text.
+sockaddr_in ParseAddress(const std::string& text);
+
+void SetNoDelay(evutil_socket_t fd);
+
+// What has arrived, as one piece.
+std::string_view Arrived(bufferevent* bev);
+void Consume(bufferevent* bev, std::size_t bytes);
+std::size_t Unsent(bufferevent* bev);
+void Send(bufferevent* bev, std::string_view bytes);
+
+}  // namespace hingelink::net
+
+#endif  // HINGELINK_NET_EVENT_H_
--- /dev/null
+++ b/src/net/gateway_front.cpp
@@ -0,0 +1,346 @@
+#include "net/gateway_front.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+#include "net/log.h"
+
+namespace hingelink::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kMostOpen = 32;  // Requests on one connection.
+// Unread bytes held of one connection: several frames, and always more than the longest that is kept.
+constexpr std::size_t kReadAhead = 4 * proto::kMostKept;
+// Unsent bytes from which a connection is not read: its gateway must take answers before it asks for more.
+constexpr std::size_t kUnsentPause = 64 * 1024;
+// Unsent bytes at which it is given up: above the pause, plus 32 whole answers.
+constexpr std::size_t kUnsentMost = 256 * 1024;
+// A gateway that takes nothing for so long is gone; machine pauses are much shorter.
+constexpr auto kWriteStall = 30s;
+constexpr auto kListenAgain = 50ms;
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+const char* ReasonCode(EndReason reason) {
+  switch (reason) {
+    case EndReason::kPeerClosed:
+      return "peer-closed";
+    case EndReason::kReset:
+      return "reset";
+    case EndReason::kFraming:
+      return "framing";
+    case EndReason::kSlowReader:
+      return "slow-reader";
+    case EndReason::kIdle:
+      return "idle";
+    case EndReason::kAtLimit:
+      return "at-limit";
+    case EndReason::kDrained:
+      return "drained";
+    case EndReason::kShutdown:
+      return "shutdown";
+  }
+  return "unknown";
+}
+
+class GatewayFront::Connection {
+ public:
+  Connection(GatewayFront& front, std::uint64_t id, evutil_socket_t fd)
+      : front_(front), id_(id), bev_(bufferevent_socket_new(front.base_, fd, BEV_OPT_CLOSE_ON_FREE)) {
+    if (!bev_) {
+      evutil_closesocket(fd);
+      throw std::runtime_error("libevent: no bufferevent");
+    }
+    SetNoDelay(fd);
+    bufferevent_setcb(
+        bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); },
+        [](bufferevent*, void* self) { static_cast<Connection*>(self)->Written(); },
+        [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->Event(what); }, this);
+    bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+    const timeval stall = ToTimeval(kWriteStall);
+    bufferevent_set_timeouts(bev_.get(), nullptr, &stall);
+    bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+  }
+
+  void Deliver(std::uint32_t stream, const node::FinalAnswer& answer) {
+    if (open_.erase(stream) == 0) return;
+    Answer(stream, answer);
+  }
+
+  void AskForNoMore() { Write(proto::NoNewRequests()); }
+
+  bool idle() const { return open_.empty() && Unsent(bev_.get()) == 0; }
+  bool given_up() const { return given_up_; }
+  bool sent() const { return Unsent(bev_.get()) == 0; }
+  Steady::time_point last_used() const { return last_used_; }
+
+  // Stops all callbacks and tells of the requests that nobody can be answered any more.
+  void Close(EndReason reason) {
+    bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
+    LogLine("connection-end id=%llu reason=%s requests=%llu open=%zu", static_cast<unsigned long long>(id_),
+            ReasonCode(reason), static_cast<unsigned long long>(requests_), open_.size());
+    for (const std::uint32_t stream : open_) front_.events_.gone({id_, stream});
+    open_.clear();
+  }
+
+ private:
+  void Read() {
+    last_used_ = Steady::now();
+    const std::string_view all = Arrived(bev_.get());
+    std::size_t done = 0;
+    while (!ending_ && !reading_paused_) {
+      const std::size_t skipped = std::min(skip_, all.size() - done);
+      skip_ -= skipped;
+      done += skipped;
+      const auto head = proto::ReadHead(all.substr(done));
+      if (!head) break;
+      if (!head->LengthInRange()) {
+        Fault("length");
+        break;
+      }
+      // Guards against connections that each make the node hold a frame of the longest legal length: what
+      // no well-formed frame needs is let go as it comes.
+      if (head->Size() > proto::kMostKept) {
+        done += proto::kHeadBytes;
+        skip_ = head->Size() - proto::kHeadBytes;
+        Take(*head, {}, true);
+        continue;
+      }
+      if (all.size() - done < head->Size()) break;
+      const std::size_t payload = head->Size() - proto::kHeadBytes;
+      Take(*head, all.substr(done + proto::kHeadBytes, payload), false);
+      done += head->Size();
+    }
+    Consume(bev_.get(), done);
+    if (given_up_) front_.End(id_, EndReason::kSlowReader);
+  }
+
+  void Take(const proto::FrameHead& head, std::string_view payload, bool too_long) {
+    switch (static_cast<proto::FrameType>(head.type)) {
+      case proto::FrameType::kRequest:
+        TakeRequest(head.stream, payload, too_long);
+        return;
+      case proto::FrameType::kGone:
+        if (open_.erase(head.stream) != 0) front_.events_.gone({id_, head.stream});
+        return;
+      case proto::FrameType::kHealthCheck:
+        Write(proto::HealthAnswer(head.stream, front_.healthy_, front_.signal_));
+        return;
+      default:
+        Fault("type");
+    }
+  }
+
+  void TakeRequest(std::uint32_t stream, std::string_view payload, bool too_long) {
+    // The answer to a request on such a stream could not be told from another's.
+    if (stream == 0 || open_.count(stream) != 0) {
+      Fault("stream");
+      return;
+    }
+    ++requests_;
+    proto::RequestFrame frame;
+    const char* fault = too_long ? "too long" : proto::ParseRequest(payload, frame);
+    if (fault != nullptr) {
+      // It never ran, and no other node would read it otherwise.
+      Answer(stream, node::Refused(true));
+      return;
+    }
+    if (open_.size() >= kMostOpen) {
+      Answer(stream, node::Refused());
+      return;
+    }
+    open_.insert(stream);
+    front_.events_.request({.reply_to = {id_, stream},
+                            .kind = frame.kind,
+                            .req = frame.req,
+                            .arrived = frame.ts,
+                            .timeout = frame.timeout,
+                            .work = frame.work,
+                            .held_kb = frame.need_kb,
+                            .rank = frame.level,
+                            .subject = frame.subject,
+                            .caller = frame.via,
+                            .body = frame.body});
+  }
+
+  void Answer(std::uint32_t stream, const node::FinalAnswer& answer) {
+    proto::AnswerCode code = proto::AnswerCode::kFailed;
+    if (answer.verdict == node::Verdict::kServed) code = proto::AnswerCode::kServed;
+    if (answer.verdict == node::Verdict::kRefused) code = proto::AnswerCode::kRefused;
+    const proto::AnswerFields fields{front_.signal_, answer.stay_away, answer.try_no_other};
+    Write(proto::AnswerHead(stream, code, fields, answer.result.size()));
+    if (!answer.result.empty()) Write(answer.result);
+  }
+
+  void Write(std::string_view bytes) {
+    last_used_ = Steady::now();
+    Send(bev_.get(), bytes);
+    const std::size_t unsent = Unsent(bev_.get());
+    // Guards against a gateway that asks and never reads: first it is not read, then it is let go.
+    if (unsent > kUnsentMost) given_up_ = true;
+    if (unsent > kUnsentPause && !reading_paused_) {
+      reading_paused_ = true;
+      bufferevent_disable(bev_.get(), EV_READ);
+    }
+  }
+
+  void Written() {
+    if (ending_) {
+      front_.End(id_, EndReason::kFraming);
+      return;
+    }
+    if (!reading_paused_) return;
+    reading_paused_ = false;
+    bufferevent_enable(bev_.get(), EV_READ);
+    Read();
+  }
+
+  // What follows cannot be read: says so on stream 0, and closes once that is out.
+  void Fault(const char* what) {
+    LogLine("framing-fault id=%llu what=%s", static_cast<unsigned long long>(id_), what);
+    ending_ = true;
+    bufferevent_disable(bev_.get(), EV_READ);
+    Write(proto::AnswerHead(0, proto::AnswerCode::kFailed, {}, 0));
+  }
+
+  void Event(short what) {
+    if ((what & BEV_EVENT_EOF) != 0) {
+      front_.End(id_, EndReason::kPeerClosed);
+    } else if ((what & BEV_EVENT_TIMEOUT) != 0) {
+      front_.End(id_, EndReason::kSlowReader);
+    } else if ((what & BEV_EVENT_ERROR) != 0) {
+      front_.End(id_, EndReason::kReset);
+    }
+  }
+
+  GatewayFront& front_;
+  std::uint64_t id_;
+  BufferPtr bev_;
+  std::unordered_set<std::uint32_t> open_;  // Streams that are owed an answer.
+  std::size_t skip_ = 0;                    // Bytes of an overlong frame still to come.
+  std::uint64_t requests_ = 0;
+  bool ending_ = false;
+  bool reading_paused_ = false;
+  bool given_up_ = false;
+  Steady::time_point last_used_ = Steady::now();
+};
+
+GatewayFront::GatewayFront(event_base* base, const sockaddr_in& listen, std::size_t most_connections,
+                           node::FrontEvents events)
+    : base_(base),
+      events_(std::move(events)),
+      most_connections_(most_connections),
+      listen_again_(base,
+                    [this] {
+                      if (listener_) evconnlistener_enable(listener_.get());
+                    }),
+      idle_sweep_(base, [this] { SweepIdle(); }) {
+  listener_.reset(evconnlistener_new_bind(
+      base,
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        static_cast<GatewayFront*>(self)->Accept(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
+      reinterpret_cast<const sockaddr*>(&listen), sizeof listen));
+  if (!listener_) throw std::runtime_error(std::string("cannot listen: ") + std::strerror(errno));
+  // Guards against a loop that spins on a listener whose accept fails for want of descriptors.
+  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
+    LogLine("accept-failed error=%s", std::strerror(errno));
+    evconnlistener_disable(listener);
+    static_cast<GatewayFront*>(self)->listen_again_.After(kListenAgain);
+  });
+}
+
+GatewayFront::~GatewayFront() { Shutdown(); }
+
+void GatewayFront::Shutdown() {
+  while (!connections_.empty()) End(connections_.begin()->first, EndReason::kShutdown);
+}
+
+void GatewayFront::Accept(evutil_socket_t fd) {
+  const std::uint64_t id = ++last_id_;
+  // Guards the descriptors that the pool link and the registry need.
+  if (connections_.size() >= most_connections_) {
+    evutil_closesocket(fd);
+    LogLine("connection-end id=%llu reason=%s requests=0 open=0", static_cast<unsigned long long>(id),
+            ReasonCode(EndReason::kAtLimit));
+    return;
+  }
+  connections_.emplace(id, std::make_unique<Connection>(*this, id, fd));
+}
+
+void GatewayFront::End(std::uint64_t id, EndReason reason) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  if (asked_for_no_more_ && reason == EndReason::kPeerClosed) reason = EndReason::kDrained;
+  ended_.push_back(std::move(it->second));
+  connections_.erase(it);
+  ended_.back()->Close(reason);
+}
+
+void GatewayFront::Sweep() { ended_.clear(); }
+
+void GatewayFront::Deliver(node::ReplyTo to, const node::FinalAnswer& answer) {
+  const auto it = connections_.find(to.connection);
+  if (it == connections_.end()) return;
+  it->second->Deliver(to.stream, answer);
+  if (it->second->given_up()) End(to.connection, EndReason::kSlowReader);
+}
+
+void GatewayFront::CloseIdle(std::chrono::milliseconds after) {
+  idle_after_ = after;
+  SweepIdle();
+}
+
+void GatewayFront::SweepIdle() {
+  if (idle_after_ <= 0ms) return;
+  const Steady::time_point limit = Steady::now() - idle_after_;
+  std::vector<std::uint64_t> idle;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->idle() && connection->last_used() < limit) idle.push_back(id);
+  }
+  for (const std::uint64_t id : idle) End(id, EndReason::kIdle);
+  idle_sweep_.After(std::clamp(idle_after_ / 4, 10ms, 1000ms));
+}
+
+void GatewayFront::AskForNoMore() {
+  asked_for_no_more_ = true;
+  for (const auto& [id, connection] : connections_) connection->AskForNoMore();
+}
+
+void GatewayFront::StopListening() {
+  if (!listener_) return;
+  // A connection that the kernel has accepted may hold a request already: closing the listener would reset
+  // it and lose the request.
+  const evutil_socket_t fd = evconnlistener_get_fd(listener_.get());
+  for (;;) {
+    const evutil_socket_t accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) break;
+    Accept(accepted);
+  }
+  listener_.reset();
+}
+
+bool GatewayFront::AllSent() const {
+  return std::all_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->sent(); });
+}
+
+std::uint16_t GatewayFront::port() const {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
+}  // namespace hingelink::net
--- /dev/null
+++ b/src/net/gateway_front.h
@@ -0,0 +1,74 @@
+// The gateways' side: the listener and its connections, which speak frames.
+#ifndef HINGELINK_NET_GATEWAY_FRONT_H_
+#define HINGELINK_NET_GATEWAY_FRONT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "net/event.h"
+#include "node/front.h"
+#include "proto/frames.h"
+
+namespace hingelink::net {
+
+// Why a connection ended. The codes are explained in docs/on-call.md.
+enum class EndReason { kPeerClosed, kReset, kFraming, kSlowReader, kIdle, kAtLimit, kDrained, kShutdown };
+const char* ReasonCode(EndReason reason);
+
+class GatewayFront : public node::Front {
+ public:
+  // Listens at once. Throws std::runtime_error where it cannot.
+  GatewayFront(event_base* base, const sockaddr_in& listen, std::size_t most_connections,
+               node::FrontEvents events);
+  ~GatewayFront() override;
+
+  void Deliver(node::ReplyTo to, const node::FinalAnswer& answer) override;
+  void SetHealth(bool good) override { healthy_ = good; }
+  void SetSignal(double value) override { signal_ = value; }
+  void CloseIdle(std::chrono::milliseconds after) override;
+
+  // Asks for no new request on any connection that stands.
+  void AskForNoMore();
+  // Takes in what the kernel has accepted already, and then listens no more.
+  void StopListening();
+  // Frees the connections that ended since the last call. Not to be called from within a callback.
+  void Sweep();
+  // Ends all connections.
+  void Shutdown();
+
+  std::size_t connections() const { return connections_.size(); }
+  bool AllSent() const;
+  std::uint16_t port() const;
+
+ private:
+  class Connection;
+
+  void Accept(evutil_socket_t fd);
+  void End(std::uint64_t id, EndReason reason);
+  void SweepIdle();
+
+  event_base* base_;
+  node::FrontEvents events_;
+  std::size_t most_connections_;
+  ListenerPtr listener_;
+  Timer listen_again_;
+  Timer idle_sweep_;
+  std::chrono::milliseconds idle_after_{0};
+  bool healthy_ = true;
+  bool asked_for_no_more_ = false;
+  std::optional<double> signal_;
+  std::uint64_t last_id_ = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::vector<std::unique_ptr<Connection>> ended_;
+};
+
+}  // namespace hingelink::net
+
+#endif  // HINGELINK_NET_GATEWAY_FRONT_H_
--- /dev/null
+++ b/src/net/pool_link.cpp
@@ -0,0 +1,145 @@
+#include "net/pool_link.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "net/log.h"
+
+namespace hingelink::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kBackoffLeast = 10ms;
+constexpr auto kBackoffMost = 320ms;
+// A poll that is not answered for so long tells of a link that died without a word.
+constexpr auto kSilence = 5s;
+constexpr std::size_t kReadAhead = 4 * (proto::kMostLine + proto::kMostResult);
+
+}  // namespace
+
+PoolLink::PoolLink(event_base* base, const sockaddr_in& pool, Events events)
+    : base_(base),
+      address_(pool),
+      events_(std::move(events)),
+      reconnect_(base, [this] { Connect(); }),
+      silence_(base, [this] { Lose("silent"); }),
+      backoff_(kBackoffLeast) {
+  Connect();
+}
+
+void PoolLink::Connect() {
+  lost_.reset();
+  bev_.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
+  if (!bev_) {
+    reconnect_.After(kBackoffMost);
+    return;
+  }
+  bufferevent_setcb(
+      bev_.get(), [](bufferevent*, void* self) { static_cast<PoolLink*>(self)->Read(); }, nullptr,
+      [](bufferevent* bev, short what, void* self) {
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+          SetNoDelay(bufferevent_getfd(bev));
+        } else {
+          static_cast<PoolLink*>(self)->Lose((what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
+        }
+      },
+      this);
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+  Send(bev_.get(), proto::BindLine(last_notice_));
+  if (bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_) !=
+      0) {
+    Lose("no-connect");
+  }
+}
+
+void PoolLink::Lose(const char* reason) {
+  if (!bev_) return;
+  LogLine("pool-link-end reason=%s last_notice=%llu", reason, static_cast<unsigned long long>(last_notice_));
+  bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
+  lost_ = std::move(bev_);
+  // A link lost before it settled adds nothing to what is known of the spawns.
+  if (settled_) answered_at_loss_ = answered_;
+  bound_ = settled_ = false;
+  silence_.Stop();
+  reconnect_.After(backoff_);
+  backoff_ = std::min<Steady::duration>(2 * backoff_, kBackoffMost);
+}
+
+void PoolLink::Read() {
+  const std::string_view all = Arrived(bev_.get());
+  std::size_t done = 0;
+  while (bev_ && done < all.size()) {
+    std::size_t size = 0;
+    const proto::PoolMessage message = proto::ParsePoolMessage(all.substr(done), size);
+    if (std::holds_alternative<proto::NeedMore>(message)) break;
+    if (!Take(message)) return;
+    done += size;
+  }
+  Consume(bev_.get(), done);
+}
+
+bool PoolLink::Take(const proto::PoolMessage& message) {
+  if (const auto* bad = std::get_if<proto::BadLine>(&message)) {
+    Lose(bad->why);
+    return false;
+  }
+  if (const auto* bound = std::get_if<proto::PoolBound>(&message)) {
+    LogLine("pool-bound state=%s", bound->cold ? "cold" : "hot");
+    bound_ = true;
+    backoff_ = kBackoffLeast;
+    events_.bound(bound->cold);
+    Ask();
+    barrier_ = polls_;
+  } else if (const auto* finished = std::get_if<proto::RunFinished>(&message)) {
+    if (IsNew(finished->number)) events_.finished(*finished);
+  } else if (const auto* polled = std::get_if<proto::PoolPolled>(&message)) {
+    std::uint64_t tag = 0;
+    std::from_chars(polled->tag.data(), polled->tag.data() + polled->tag.size(), tag);
+    if (tag <= answered_ || tag > polls_) return true;
+    answered_ = tag;
+    gauges_ = polled->gauges;
+    silence_.Stop();
+    if (!settled_ && bound_ && tag >= barrier_) {
+      settled_ = true;
+      events_.settled();
+    }
+  } else if (const auto* unknown = std::get_if<proto::CommandUnknown>(&message)) {
+    LogLine("pool-unknown req=%s", proto::ReqText(unknown->req).c_str());
+    if (unknown->command == "spawn") events_.spawn_unknown(unknown->req);
+  } else if (const auto* chatter = std::get_if<proto::PoolChatter>(&message)) {
+    IsNew(chatter->number);
+  }
+  return true;
+}
+
+// Guards against acting twice on a notice that a new link brings again.
+bool PoolLink::IsNew(std::uint64_t number) {
+  if (number <= last_notice_) return false;
+  last_notice_ = number;
+  return true;
+}
+
+PoolLink::Mark PoolLink::Spawn(std::uint64_t req, std::string_view kind, std::string_view body) {
+  if (!settled_) return kNeverSent;
+  Send(bev_.get(), proto::SpawnLine(req, kind, body.size()));
+  Send(bev_.get(), body);
+  Send(bev_.get(), "\r\n");
+  return polls_;
+}
+
+void PoolLink::Poll() {
+  if (settled_ && answered_ == polls_) Ask();
+}
+
+void PoolLink::Ask() {
+  Send(bev_.get(), proto::PollLine(std::to_string(++polls_)));
+  silence_.After(kSilence);
+}
+
+}  // namespace hingelink::net
--- /dev/null
+++ b/src/net/pool_link.h
@@ -0,0 +1,68 @@
+// The link to the worker pool: kept open, bound again after each loss, settled before it carries commands.
+#ifndef HINGELINK_NET_POOL_LINK_H_
+#define HINGELINK_NET_POOL_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "net/event.h"
+#include "proto/pool_lines.h"
+
+namespace hingelink::net {
+
+class PoolLink {
+ public:
+  struct Events {
+    std::function<void(bool cold)> bound;
+    std::function<void(const proto::RunFinished&)> finished;
+    std::function<void(std::uint64_t req)> spawn_unknown;
+    // All notices of the time without a link are in. Spawns for which Processed() says no may be sent again.
+    std::function<void()> settled;
+  };
+  // Where a spawn stands in the order of commands.
+  using Mark = std::uint64_t;
+  static constexpr Mark kNeverSent = UINT64_MAX;
+
+  PoolLink(event_base* base, const sockaddr_in& pool, Events events);
+
+  // Sends it, or returns kNeverSent where the link does not carry commands just now.
+  Mark Spawn(std::uint64_t req, std::string_view kind, std::string_view body);
+  // Asks for the gauges, unless an answer is still to come.
+  void Poll();
+  // In `settled`: whether the pool is known to have read the spawn before the link was lost.
+  bool Processed(Mark mark) const { return mark < answered_at_loss_; }
+
+  const std::vector<double>& gauges() const { return gauges_; }
+
+ private:
+  void Connect();
+  void Lose(const char* reason);
+  void Read();
+  bool Take(const proto::PoolMessage& message);
+  bool IsNew(std::uint64_t number);
+  void Ask();
+
+  event_base* base_;
+  sockaddr_in address_;
+  Events events_;
+  BufferPtr bev_;
+  BufferPtr lost_;  // Freed at the next connect, outside its own callbacks.
+  Timer reconnect_;
+  Timer silence_;
+  Steady::duration backoff_;
+  bool bound_ = false;    // On this link.
+  bool settled_ = false;  // On this link.
+  std::uint64_t last_notice_ = 0;
+  std::uint64_t polls_ = 0;     // Asked so far; also the tag of the last.
+  std::uint64_t answered_ = 0;  // The last tag that was answered.
+  std::uint64_t barrier_ = 0;   // The tag asked right after `bound`.
+  std::uint64_t answered_at_loss_ = 0;
+  std::vector<double> gauges_;
+};
+
+}  // namespace hingelink::net
+
+#endif  // HINGELINK_NET_POOL_LINK_H_
--- /dev/null
+++ b/src/node/config.cpp
@@ -0,0 +1,98 @@
+#include "node/config.h"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "settings_parser.h"
+
+namespace hingelink::node {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kLeastSockets = 64;
+
+std::string Scalar(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+// Writes nested settings as the path=value lines that the adapter's parser reads.
+void Flatten(const Json& value, const std::string& path, std::string& lines) {
+  if (value.is_object()) {
+    for (const auto& [name, member] : value.items()) {
+      Flatten(member, path.empty() ? name : path + '.' + name, lines);
+    }
+    return;
+  }
+  if (value.is_array() && !value.empty() && value.front().is_object()) {
+    lines += path + ".count=" + std::to_string(value.size()) + '\n';
+    for (std::size_t i = 0; i < value.size(); ++i) Flatten(value[i], path + '.' + std::to_string(i), lines);
+    return;
+  }
+  lines += path + '=';
+  if (value.is_array()) {
+    for (std::size_t i = 0; i < value.size(); ++i) lines += (i > 0 ? "," : "") + Scalar(value[i]);
+  } else if (!value.is_null()) {
+    lines += Scalar(value);
+  }
+  lines += '\n';
+}
+
+const Json& Member(const Json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end()) throw ConfigError(std::string("configuration lacks '") + name + "'");
+  return *it;
+}
+
+template <typename T>
+T Get(const Json& object, const char* name) {
+  try {
+    return Member(object, name).get<T>();
+  } catch (const Json::exception&) {
+    throw ConfigError(std::string("configuration: '") + name + "' is of the wrong kind");
+  }
+}
+
+}  // namespace
+
+Config ParseConfig(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) throw ConfigError("configuration is no JSON object");
+  Config config;
+  config.name = Get<std::string>(json, "name");
+  config.listen = Get<std::string>(json, "listen");
+  config.pool = Get<std::string>(json, "pool");
+  config.registry = Get<std::string>(json, "registry");
+  const std::string seed = Get<std::string>(json, "seed");
+  const auto [end, fault] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
+  if (fault != std::errc() || end != seed.data() + seed.size()) {
+    throw ConfigError("configuration: 'seed' is no hexadecimal number of 64 bits");
+  }
+  const double stop = Get<double>(json, "stop_ms");
+  if (!(stop >= 0 && stop <= 3'600'000)) throw ConfigError("configuration: 'stop_ms' is out of range");
+  config.stop = std::chrono::milliseconds(static_cast<std::int64_t>(stop));
+  config.sockets = Get<int>(Get<Json>(json, "limits"), "sockets");
+  if (config.sockets < kLeastSockets) {
+    throw ConfigError("configuration: 'sockets' is under " + std::to_string(kLeastSockets));
+  }
+  const Json settings = Get<Json>(json, "settings");
+  if (!settings.is_object()) throw ConfigError("configuration: 'settings' is no object");
+  std::string lines;
+  Flatten(settings, "", lines);
+  try {
+    config.settings = workspitch::wirehost::ParseSettings(lines);
+  } catch (const std::exception& wrong) {
+    throw ConfigError(std::string("configuration: ") + wrong.what());
+  }
+  const std::string wrong = config.settings.Validate();
+  if (!wrong.empty()) throw ConfigError("configuration: settings: " + wrong);
+  return config;
+}
+
+Config ReadConfig(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw ConfigError("configuration '" + path + "' cannot be read");
+  return ParseConfig(std::string(std::istreambuf_iterator<char>(file), {}));
+}
+
+}  // namespace hingelink::node
--- /dev/null
+++ b/src/node/config.h
@@ -0,0 +1,36 @@
+// The node's configuration: the platform's JSON, whose settings share one schema with the adapter's.
+#ifndef HINGELINK_NODE_CONFIG_H_
+#define HINGELINK_NODE_CONFIG_H_
+
+#include <chrono>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+
+#include "workspitch/server_policy.h"
+
+namespace hingelink::node {
+
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  std::string listen;
+  std::string pool;
+  std::string registry;
+  std::uint64_t seed = 0;
+  std::chrono::milliseconds stop{0};  // From the notice to leave to the kill.
+  int sockets = 0;                    // Descriptors that the process may hold.
+  workspitch::Settings settings;
+};
+
+// Throws ConfigError with one line that names what is wrong.
+Config ParseConfig(const std::string& json);
+Config ReadConfig(const std::string& path);
+
+}  // namespace hingelink::node
+
+#endif  // HINGELINK_NODE_CONFIG_H_
--- /dev/null
+++ b/src/node/front.h
@@ -0,0 +1,85 @@
+// What the decisions see of the callers' side: requests and final answers, free of any protocol. The
+// gateways' frames are one front; another protocol stands before the same decisions by implementing these.
+#ifndef HINGELINK_NODE_FRONT_H_
+#define HINGELINK_NODE_FRONT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string_view>
+
+namespace hingelink::node {
+
+using Millis = std::chrono::duration<double, std::milli>;
+using UnixTime = std::chrono::system_clock::time_point;
+
+// Where an answer goes: a connection of the front, never named twice, and a stream on it.
+struct ReplyTo {
+  std::uint64_t connection = 0;
+  std::uint32_t stream = 0;
+  bool operator==(const ReplyTo&) const = default;
+};
+
+// A request as a front read it. The texts are slices of its buffer, good during the call only.
+struct IncomingRequest {
+  ReplyTo reply_to;
+  std::string_view kind;  // The name of its class.
+  std::uint64_t req = 0;  // The try's id.
+  UnixTime arrived{};     // When it came to the machine.
+  Millis timeout{0};      // How long its caller waits, from `arrived` on.
+  Millis work{0};         // Expected; 0 where not told.
+  double held_kb = 0;     // Memory booked while it is held.
+  double rank = 0;        // From 0 to under 1.
+  std::uint64_t subject = 0;
+  std::uint32_t caller = 0;
+  std::string_view body;
+};
+
+enum class Verdict {
+  kServed,   // Carries the result of the request's own run, unchanged.
+  kRefused,  // Promises that this try never ran.
+  kFailed,   // Promises nothing.
+};
+
+struct FinalAnswer {
+  Verdict verdict = Verdict::kFailed;
+  std::optional<std::chrono::milliseconds> stay_away;  // Advice on a refusal.
+  bool try_no_other = false;                           // A wish on a refusal.
+  std::string_view result;
+};
+
+inline FinalAnswer Served(std::string_view result) {
+  FinalAnswer answer;
+  answer.verdict = Verdict::kServed;
+  answer.result = result;
+  return answer;
+}
+inline FinalAnswer Refused(bool try_no_other = false) {
+  FinalAnswer answer;
+  answer.verdict = Verdict::kRefused;
+  answer.try_no_other = try_no_other;
+  return answer;
+}
+inline FinalAnswer Failed() { return {}; }
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  // Delivers the one final answer of a request. Does nothing where its connection has ended.
+  virtual void Deliver(ReplyTo to, const FinalAnswer& answer) = 0;
+  // From now on: the answer to health checks, and the value that rides on answers and checks.
+  virtual void SetHealth(bool good) = 0;
+  virtual void SetSignal(double value) = 0;
+  virtual void CloseIdle(std::chrono::milliseconds after) = 0;
+};
+
+// What a front tells.
+struct FrontEvents {
+  std::function<void(const IncomingRequest&)> request;
+  std::function<void(ReplyTo)> gone;  // Nobody waits for this answer any more.
+};
+
+}  // namespace hingelink::node
+
+#endif  // HINGELINK_NODE_FRONT_H_
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,187 @@
+#include "node/node.h"
+
+#include <csignal>
+#include <type_traits>
+#include <variant>
+
+#include "net/log.h"
+
+namespace hingelink::node {
+namespace {
+
+using namespace std::chrono_literals;
+using workspitch::Outcome;
+
+// Descriptors kept from the gateways: the pool link, the registry, the log, epoll, and what is closing.
+constexpr int kReserved = 32;
+// How long before a timer the gauges are asked for, so that they are new when it fires: a few round trips.
+constexpr auto kGaugeLead = 4ms;
+// From the module's last moment to the kill: time to flush on a core that others use too.
+constexpr auto kFlush = 150ms;
+// Before the kill: no more connections are taken, and those that stand are asked for no more.
+constexpr auto kCloseListener = 500ms;
+// Before the kill: the process ends, whoever is still connected.
+constexpr auto kEnd = 60ms;
+constexpr auto kDrainLook = 10ms;
+
+Outcome ToOutcome(proto::RunEnd end) {
+  switch (end) {
+    case proto::RunEnd::kComplete:
+      return Outcome::kOk;
+    case proto::RunEnd::kCancelled:
+      return Outcome::kCancelled;
+    case proto::RunEnd::kUnknown:
+      return Outcome::kMoot;
+    case proto::RunEnd::kError:
+      break;
+  }
+  return Outcome::kError;
+}
+
+net::EventPtr OnSignal(event_base* base, int number, void (*call)(evutil_socket_t, short, void*), void* arg) {
+  net::EventPtr event(evsignal_new(base, number, call, arg));
+  if (event) evsignal_add(event.get(), nullptr);
+  return event;
+}
+
+}  // namespace
+
+Node::Node(Config config)
+    : config_(std::move(config)),
+      base_(net::MakeBase()),
+      front_(base_.get(), net::ParseAddress(config_.listen),
+             static_cast<std::size_t>(config_.sockets - kReserved),
+             {.request = [this](const IncomingRequest& request) { Take(request); },
+              .gone = [this](ReplyTo from) { table_.CallerGone(from); }}),
+      table_(config_.settings, front_,
+             [this](std::uint64_t req, std::string_view kind, std::string_view body) {
+               return pool_.Spawn(req, kind, body);
+             }),
+      pool_(
+          base_.get(), net::ParseAddress(config_.pool),
+          {.bound = [this](bool cold) { Bound(cold); },
+           .finished =
+               [this](const proto::RunFinished& run) {
+                 table_.Finished({run.req, ToOutcome(run.end), run.elapsed, run.result});
+               },
+           .spawn_unknown = [this](std::uint64_t req) { table_.SpawnUnknown(req); },
+           .settled =
+               [this] { table_.Resend([this](RequestTable::Mark mark) { return pool_.Processed(mark); }); }}),
+      registry_(base_.get(), net::ParseAddress(config_.registry), config_.registry, config_.name),
+      timer_(base_.get(), [this] { step_due_ = true; }),
+      gauge_timer_(base_.get(), [this] { pool_.Poll(); }),
+      drain_timer_(base_.get(), [] {}) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto leave = [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->Leave(); };
+  sigterm_ = OnSignal(base_.get(), SIGTERM, leave, this);
+  sigint_ = OnSignal(base_.get(), SIGINT, leave, this);
+}
+
+// The front tells the table of each connection that it ends, so it must end them while the table stands.
+Node::~Node() { front_.Shutdown(); }
+
+void Node::Take(const IncomingRequest& request) {
+  if (policy_) {
+    table_.Take(request);
+  } else {
+    // Without a worker pool nothing can run, nor is there a module to hold it.
+    front_.Deliver(request.reply_to, Refused());
+  }
+}
+
+void Node::Run() {
+  for (;;) {
+    event_base_loop(base_.get(), EVLOOP_ONCE);
+    if (step_due_ || table_.has_events() || (leaving_ && !notice_given_)) Step();
+    front_.Sweep();
+    if (leaving_) {
+      const Steady::time_point now = Steady::now();
+      DrainStep();
+      const bool done = table_.unanswered() == 0 && front_.AllSent();
+      if ((!listening_ && done && front_.connections() == 0) || now >= kill_at_ - kEnd) break;
+      drain_timer_.After(kDrainLook);
+    }
+  }
+  table_.AnswerAll();
+  net::LogLine("stopped unanswered=%zu connections=%zu", table_.unanswered(), front_.connections());
+}
+
+void Node::Bound(bool cold) {
+  if (policy_) return;
+  workspitch::Settings settings = config_.settings;
+  settings.cold = cold;
+  policy_.emplace(settings, config_.seed);
+  step_due_ = true;
+}
+
+// All that is ready goes to the module in one call; then its actions are carried out in order.
+void Node::Step() {
+  step_due_ = false;
+  if (!policy_) return;
+  std::vector<workspitch::Event> events = table_.TakeEvents(std::chrono::system_clock::now());
+  if (leaving_ && !notice_given_) {
+    notice_given_ = true;
+    const Millis left = kill_at_ - Steady::now() - kFlush;
+    events.emplace_back(workspitch::DrainNotice{std::max(0.0, left.count())});
+  }
+  FireTimers(events);
+  for (const workspitch::Action& action : policy_->Step(Clock().count(), events)) Carry(action);
+  ArmTimers();
+}
+
+void Node::Carry(const workspitch::Action& action) {
+  std::visit(
+      [this](const auto& a) {
+        using A = std::decay_t<decltype(a)>;
+        if constexpr (std::is_same_v<A, workspitch::Start> || std::is_same_v<A, workspitch::Refuse> ||
+                      std::is_same_v<A, workspitch::Fail>) {
+          table_.Do(a);
+        } else if constexpr (std::is_same_v<A, workspitch::SetTimer>) {
+          timers_.emplace(Steady::now() + std::chrono::duration_cast<Steady::duration>(Millis(a.in_ms)),
+                          a.token);
+        } else if constexpr (std::is_same_v<A, workspitch::SetHealth>) {
+          front_.SetHealth(a.good);
+        } else if constexpr (std::is_same_v<A, workspitch::Announce>) {
+          front_.SetSignal(a.value);
+        } else if constexpr (std::is_same_v<A, workspitch::CloseIdle>) {
+          const double ms = a.after_ms > 0 ? a.after_ms : config_.settings.idle_ms;
+          front_.CloseIdle(std::chrono::milliseconds(static_cast<std::int64_t>(ms)));
+        } else if constexpr (std::is_same_v<A, workspitch::Log>) {
+          net::LogLine("module %s", a.text.c_str());
+        }
+      },
+      action);
+}
+
+void Node::FireTimers(std::vector<workspitch::Event>& events) {
+  const Steady::time_point now = Steady::now();
+  while (!timers_.empty() && timers_.top().first <= now) {
+    events.emplace_back(workspitch::TimerFired{timers_.top().second, pool_.gauges()});
+    timers_.pop();
+  }
+}
+
+void Node::ArmTimers() {
+  if (timers_.empty()) return;
+  const Steady::duration in = timers_.top().first - Steady::now();
+  timer_.After(in);
+  gauge_timer_.After(in - kGaugeLead);
+}
+
+void Node::Leave() {
+  if (leaving_) return;
+  leaving_ = true;
+  kill_at_ = Steady::now() + config_.stop;
+  net::LogLine("drain stop_ms=%lld", static_cast<long long>(config_.stop.count()));
+  front_.AskForNoMore();
+  registry_.Drain();
+}
+
+void Node::DrainStep() {
+  if (!listening_ || Steady::now() < kill_at_ - kCloseListener) return;
+  listening_ = false;
+  front_.StopListening();
+  front_.AskForNoMore();
+}
+
+}  // namespace hingelink::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,73 @@
+// The portal node: its ends, its request table and the one loop round the module.
+#ifndef HINGELINK_NODE_NODE_H_
+#define HINGELINK_NODE_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "net/event.h"
+#include "net/gateway_front.h"
+#include "net/pool_link.h"
+#include "net/registry_client.h"
+#include "node/config.h"
+#include "node/request_table.h"
+#include "workspitch/server_policy.h"
+
+namespace hingelink::node {
+
+class Node {
+ public:
+  // Listens and connects at once. Throws where that cannot be.
+  explicit Node(Config config);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  // Serves until a notice to leave has been carried out.
+  void Run();
+
+  std::uint16_t port() const { return front_.port(); }
+
+ private:
+  using Steady = net::Steady;
+
+  void Take(const IncomingRequest& request);
+  void Step();
+  void Carry(const workspitch::Action& action);
+  void FireTimers(std::vector<workspitch::Event>& events);
+  void ArmTimers();
+  void Bound(bool cold);
+  void Leave();
+  void DrainStep();
+  Millis Clock() const { return Steady::now() - began_; }
+
+  const Config config_;
+  net::BasePtr base_;
+  Steady::time_point began_ = Steady::now();
+  net::GatewayFront front_;
+  RequestTable table_;
+  net::PoolLink pool_;
+  net::RegistryClient registry_;
+  std::optional<workspitch::ServerPolicy> policy_;
+  using Due = std::pair<Steady::time_point, std::uint32_t>;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> timers_;
+  net::Timer timer_;
+  net::Timer gauge_timer_;
+  bool step_due_ = false;
+  net::EventPtr sigterm_;
+  net::EventPtr sigint_;
+  bool leaving_ = false;
+  bool notice_given_ = false;
+  bool listening_ = true;
+  Steady::time_point kill_at_{};
+  net::Timer drain_timer_;
+};
+
+}  // namespace hingelink::node
+
+#endif  // HINGELINK_NODE_NODE_H_
--- /dev/null
+++ b/src/node/request_table.cpp
@@ -0,0 +1,187 @@
+#include "node/request_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <variant>
+
+namespace hingelink::node {
+namespace {
+
+using workspitch::Outcome;
+
+// Ended tries that are remembered, so that none runs again: many seconds of traffic, in little memory.
+constexpr std::size_t kRecent = 8192;
+// A budget of 0 means 'not told' to the module; a wait that is over is told as this.
+constexpr Millis kLeastBudget{0.001};
+
+}  // namespace
+
+RequestTable::RequestTable(const workspitch::Settings& settings, Front& front, Spawn spawn)
+    : settings_(settings), front_(front), spawn_(std::move(spawn)) {
+  for (std::size_t i = 0; i < settings.classes.size(); ++i) classes_.emplace(settings.classes[i].name, i);
+}
+
+void RequestTable::Take(const IncomingRequest& request) {
+  const auto cls = classes_.find(request.kind);
+  if (cls == classes_.end()) {
+    front_.Deliver(request.reply_to, Refused());
+    return;
+  }
+  // Guards against a second run of one try: it is never told apart from the first at the pool. Failed, as a
+  // refusal would promise that no try of this id ever ran.
+  if (by_req_.count(request.req) != 0 || recent_.count(request.req) != 0) {
+    front_.Deliver(request.reply_to, Failed());
+    return;
+  }
+  const workspitch::RequestId id = ++last_id_;
+  Entry& entry = entries_[id];
+  entry.reply_to = request.reply_to;
+  entry.req = request.req;
+  entry.cls = cls->second;
+  entry.body = request.body;
+  by_req_[request.req] = id;
+  waiting_[request.reply_to] = id;
+  workspitch::Arrival arrival;
+  arrival.id = id;
+  arrival.held_kb = request.held_kb;
+  arrival.hint_ms = request.work.count();
+  arrival.subject = request.subject;
+  arrival.rank = request.rank;
+  arrival.caller = request.caller;
+  arrival.request_class = static_cast<std::uint16_t>(cls->second);
+  events_.emplace_back(arrival);
+  const auto timeout = std::chrono::duration_cast<UnixTime::duration>(request.timeout);
+  arrivals_.push_back({request.arrived, request.arrived + timeout});
+}
+
+std::vector<workspitch::Event> RequestTable::TakeEvents(UnixTime now) {
+  auto clocked = arrivals_.begin();
+  for (workspitch::Event& event : events_) {
+    auto* arrival = std::get_if<workspitch::Arrival>(&event);
+    if (arrival == nullptr) continue;
+    // A stamp from the future counts as now.
+    const UnixTime arrived = std::min(now, clocked->arrived);
+    const Millis wait = clocked->due - clocked->arrived;
+    arrival->unread_ms = Millis(now - arrived).count();
+    if (settings_.tells_deadline) {
+      arrival->budget_ms = std::max(kLeastBudget, wait - Millis(now - arrived)).count();
+    }
+    ++clocked;
+  }
+  arrivals_.clear();
+  return std::exchange(events_, {});
+}
+
+void RequestTable::CallerGone(ReplyTo from) {
+  const auto waiting = waiting_.find(from);
+  if (waiting == waiting_.end()) return;
+  const auto it = entries_.find(waiting->second);
+  waiting_.erase(waiting);
+  it->second.waiting = false;
+  events_.emplace_back(workspitch::CallerGone{it->first});
+  if (!it->second.running) Leave(it);
+}
+
+void RequestTable::Finished(const RunResult& run) {
+  const auto it = ByReq(run.req);
+  if (it == entries_.end() || !it->second.running) return;
+  events_.emplace_back(workspitch::Finished{it->first, run.outcome, run.elapsed.count()});
+  switch (run.outcome) {
+    case Outcome::kOk:
+      Answer(it, Served(run.result));
+      break;
+    case Outcome::kMoot:
+      // Nothing was started by the last spawn; an earlier one may have been.
+      Answer(it, it->second.spawns > 1 ? Failed() : Refused());
+      break;
+    default:
+      Answer(it, Failed());
+  }
+  Leave(it);
+}
+
+void RequestTable::SpawnUnknown(std::uint64_t req) {
+  Finished({.req = req, .outcome = Outcome::kMoot, .elapsed = Millis(0), .result = {}});
+}
+
+void RequestTable::Resend(const std::function<bool(Mark)>& processed) {
+  std::vector<workspitch::RequestId> ids;
+  for (const auto& [id, entry] : entries_) {
+    // A run that the pool has read goes on without a link; one whose answer was given is not begun.
+    if (entry.running && entry.waiting && !processed(entry.mark)) ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const workspitch::RequestId id : ids) SendSpawn(entries_.at(id));
+}
+
+void RequestTable::SendSpawn(Entry& entry) {
+  entry.mark = spawn_(entry.req, settings_.classes[entry.cls].name, entry.body);
+  if (entry.mark != kNeverSent) ++entry.spawns;
+}
+
+void RequestTable::Do(const workspitch::Start& action) {
+  const auto it = entries_.find(action.id);
+  if (it == entries_.end() || it->second.running) return;
+  it->second.running = true;
+  SendSpawn(it->second);
+}
+
+void RequestTable::Do(const workspitch::Refuse& action) {
+  const auto it = entries_.find(action.id);
+  if (it == entries_.end()) return;
+  // Guards the promise of a refusal.
+  if (it->second.running) {
+    Answer(it, Failed());
+    return;
+  }
+  FinalAnswer answer = Refused();
+  if (action.retry_after_ms > 0) {
+    answer.stay_away = std::chrono::milliseconds(std::llround(std::ceil(action.retry_after_ms)));
+  }
+  answer.try_no_other = action.no_retry;
+  Answer(it, answer);
+  Leave(it);
+}
+
+void RequestTable::Do(const workspitch::Fail& action) {
+  const auto it = entries_.find(action.id);
+  if (it == entries_.end()) return;
+  Answer(it, Failed());
+  if (!it->second.running) Leave(it);
+}
+
+void RequestTable::AnswerAll() {
+  std::vector<workspitch::RequestId> ids;
+  for (const auto& [to, id] : waiting_) ids.push_back(id);
+  for (const workspitch::RequestId id : ids) {
+    const auto it = entries_.find(id);
+    Answer(it, it->second.running ? Failed() : Refused());
+  }
+}
+
+// Guards against a second answer: whoever ends a request passes here, and only the first is heard.
+void RequestTable::Answer(Entries::iterator it, const FinalAnswer& answer) {
+  if (!it->second.waiting) return;
+  it->second.waiting = false;
+  waiting_.erase(it->second.reply_to);
+  front_.Deliver(it->second.reply_to, answer);
+}
+
+void RequestTable::Leave(Entries::iterator it) {
+  const std::uint64_t req = it->second.req;
+  by_req_.erase(req);
+  entries_.erase(it);
+  recent_.insert(req);
+  recent_order_.push_back(req);
+  if (recent_order_.size() <= kRecent) return;
+  recent_.erase(recent_order_.front());
+  recent_order_.pop_front();
+}
+
+RequestTable::Entries::iterator RequestTable::ByReq(std::uint64_t req) {
+  const auto it = by_req_.find(req);
+  return it == by_req_.end() ? entries_.end() : entries_.find(it->second);
+}
+
+}  // namespace hingelink::node
--- /dev/null
+++ b/src/node/request_table.h
@@ -0,0 +1,104 @@
+// The one owner of each request's state and of its one final answer. It turns what the fronts and the worker
+// pool tell into events for the module, and carries out the module's actions. It knows no protocol.
+#ifndef HINGELINK_NODE_REQUEST_TABLE_H_
+#define HINGELINK_NODE_REQUEST_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "node/front.h"
+#include "workspitch/server_policy.h"
+
+namespace hingelink::node {
+
+// How a run ended, as the worker pool tells.
+struct RunResult {
+  std::uint64_t req = 0;
+  workspitch::Outcome outcome = workspitch::Outcome::kError;
+  Millis elapsed{0};
+  std::string_view result;
+};
+
+class RequestTable {
+ public:
+  using Mark = std::uint64_t;
+  static constexpr Mark kNeverSent = UINT64_MAX;
+  // Sends a run to the pool. Gives a mark for Resend(), or kNeverSent.
+  using Spawn = std::function<Mark(std::uint64_t req, std::string_view kind, std::string_view body)>;
+
+  RequestTable(const workspitch::Settings& settings, Front& front, Spawn spawn);
+
+  // ---- What came; each adds what the module must know to events(). ----
+  void Take(const IncomingRequest& request);
+  void CallerGone(ReplyTo from);
+  void Finished(const RunResult& run);
+  // The pool knows nothing of this spawn.
+  void SpawnUnknown(std::uint64_t req);
+  // Sends again the spawns that the pool may not have read.
+  void Resend(const std::function<bool(Mark)>& processed);
+
+  // The events since the last call, with the times of arrivals as of `now`.
+  std::vector<workspitch::Event> TakeEvents(UnixTime now);
+  bool has_events() const { return !events_.empty(); }
+
+  // ---- The module's actions on requests ----
+  void Do(const workspitch::Start& action);
+  void Do(const workspitch::Refuse& action);
+  void Do(const workspitch::Fail& action);
+
+  // Requests that are still owed an answer.
+  std::size_t unanswered() const { return waiting_.size(); }
+  // Answers all that is still owed one. The module has had its last say.
+  void AnswerAll();
+
+ private:
+  struct Entry {
+    ReplyTo reply_to;
+    std::uint64_t req = 0;
+    std::size_t cls = 0;
+    std::string body;     // Held until the run is over: a lost link may have swallowed the spawn.
+    bool waiting = true;  // An answer is owed.
+    bool running = false;
+    int spawns = 0;
+    Mark mark = kNeverSent;
+  };
+  using Entries = std::unordered_map<workspitch::RequestId, Entry>;
+  struct ReplyToHash {
+    std::size_t operator()(const ReplyTo& to) const {
+      return std::hash<std::uint64_t>()(to.connection * 0x9e3779b97f4a7c15u + to.stream);
+    }
+  };
+
+  void Answer(Entries::iterator it, const FinalAnswer& answer);
+  void Leave(Entries::iterator it);
+  void SendSpawn(Entry& entry);
+  Entries::iterator ByReq(std::uint64_t req);
+
+  const workspitch::Settings& settings_;
+  Front& front_;
+  Spawn spawn_;
+  std::unordered_map<std::string_view, std::size_t> classes_;
+  workspitch::RequestId last_id_ = 0;
+  Entries entries_;
+  std::unordered_map<std::uint64_t, workspitch::RequestId> by_req_;
+  std::unordered_map<ReplyTo, workspitch::RequestId, ReplyToHash> waiting_;
+  std::deque<std::uint64_t> recent_order_;  // Tries that have ended, oldest first.
+  std::unordered_set<std::uint64_t> recent_;
+  struct Clocked {
+    UnixTime arrived;
+    UnixTime due;
+  };
+  std::vector<workspitch::Event> events_;
+  std::vector<Clocked> arrivals_;  // One for each Arrival in events_, in order.
+};
+
+}  // namespace hingelink::node
+
+#endif  // HINGELINK_NODE_REQUEST_TABLE_H_
--- /dev/null
+++ b/src/proto/frames.h
@@ -0,0 +1,79 @@
+// The gateways' binary frames: parsing into slices of the buffer they were read into, and encoding.
+// No sockets.
+#ifndef HINGELINK_PROTO_FRAMES_H_
+#define HINGELINK_PROTO_FRAMES_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hingelink::proto {
+
+enum class FrameType : std::uint8_t {
+  kRequest = 0,
+  kAnswer = 1,
+  kGone = 2,
+  kHealthCheck = 6,
+  kHealthAnswer = 7,
+  kNoNewRequests = 9,
+};
+
+enum class AnswerCode : std::uint8_t { kServed = 0, kRefused = 1, kFailed = 2 };
+
+inline constexpr std::size_t kLengthBytes = 4;
+inline constexpr std::size_t kHeadBytes = 9;  // Length, type and stream.
+inline constexpr std::uint32_t kLeastLength = 5;
+inline constexpr std::uint32_t kMostLength = 262'144;
+inline constexpr std::size_t kMostBody = 2048;
+// No well-formed request comes near this. Longer frames are skipped unread, so that a connection never makes
+// the node hold more than this of a frame.
+inline constexpr std::size_t kMostKept = 16'384;
+
+struct FrameHead {
+  std::uint32_t length = 0;  // Counts all that follows the length field.
+  std::uint8_t type = 0;
+  std::uint32_t stream = 0;
+
+  bool LengthInRange() const { return length >= kLeastLength && length <= kMostLength; }
+  std::size_t Size() const { return kLengthBytes + length; }
+};
+
+// The head of a frame; nothing while it has not arrived whole.
+std::optional<FrameHead> ReadHead(std::string_view bytes);
+
+// What a request says. The text fields are slices of the payload.
+struct RequestFrame {
+  std::string_view kind;
+  std::uint64_t req = 0;
+  std::chrono::sys_time<std::chrono::milliseconds> ts{};
+  std::chrono::milliseconds timeout{0};
+  std::chrono::duration<double, std::milli> work{0};
+  std::uint32_t via = 0;
+  double need_kb = 0;
+  double level = 0;
+  std::uint64_t subject = 0;
+  std::string_view body;
+};
+
+// Parses the payload of a kRequest frame. Returns what is wrong with it, or null.
+const char* ParseRequest(std::string_view payload, RequestFrame& request);
+
+// The fields an answer may carry.
+struct AnswerFields {
+  std::optional<double> signal;
+  std::optional<std::chrono::milliseconds> holdoff;
+  bool nomore = false;
+};
+
+// All but the body of an answer whose body has `body_size` bytes.
+std::string AnswerHead(std::uint32_t stream, AnswerCode code, const AnswerFields& fields,
+                       std::size_t body_size);
+std::string HealthAnswer(std::uint32_t stream, bool good, std::optional<double> signal);
+std::string NoNewRequests();
+
+}  // namespace hingelink::proto
+
+#endif  // HINGELINK_PROTO_FRAMES_H_
--- /dev/null
+++ b/src/proto/registry_http.h
@@ -0,0 +1,26 @@
+// The registry's HTTP/1.1 calls: encoding a report and reading the response. No sockets.
+#ifndef HINGELINK_PROTO_REGISTRY_HTTP_H_
+#define HINGELINK_PROTO_REGISTRY_HTTP_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace hingelink::proto {
+
+inline constexpr std::size_t kMostResponse = 65'536;
+
+std::string ReportCall(std::string_view name, std::string_view host, bool draining);
+
+struct HttpResponse {
+  enum class State { kNeedMore, kWhole, kBad } state = State::kNeedMore;
+  int status = 0;
+  std::size_t size = 0;  // Bytes it takes, once whole.
+  bool close = false;    // The connection cannot carry another call.
+};
+
+HttpResponse ReadResponse(std::string_view bytes);
+
+}  // namespace hingelink::proto
+
+#endif  // HINGELINK_PROTO_REGISTRY_HTTP_H_
