--- a/include/workspitch/server_policy.h
+++ b/include/hingelink/server_policy.h
@@ -1,4 +1,4 @@
-// The whole interface of workspitch: settings, events, actions and the class that decides.
+// The whole interface of hingelink: settings, events, actions and the class that decides.
 //
 // One ServerPolicy serves one app server for one process life. The host owns requests, sockets, memory and
 // the clock; it reports what happens in batches of events and carries out the actions it gets back, in order.
@@ -9,8 +9,8 @@
 // Misuse is defined: an event about a request unknown here, or already over, changes nothing and draws no
 // action; so does an event that does not fit the request's state (a second start's finish, a call result
 // without a call) or an id that arrives twice.
-#ifndef WORKSPITCH_SERVER_POLICY_H_
-#define WORKSPITCH_SERVER_POLICY_H_
+#ifndef HINGELINK_SERVER_POLICY_H_
+#define HINGELINK_SERVER_POLICY_H_
 
 #include <cstdint>
 #include <memory>
@@ -19,7 +19,7 @@
 #include <variant>
 #include <vector>
 
-namespace workspitch {
+namespace hingelink {
 
 using RequestId = std::uint64_t;  // Never reused within a life; 0 means none.
 
@@ -244,6 +244,6 @@
   std::unique_ptr<Logic> logic_;
 };
 
-}  // namespace workspitch
+}  // namespace hingelink
 
-#endif  // WORKSPITCH_SERVER_POLICY_H_
+#endif  // HINGELINK_SERVER_POLICY_H_
--- a/src/wirehost/codec.cpp
+++ b/src/benchlink/codec.cpp
@@ -7,7 +7,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace workspitch::wirehost {
+namespace hingelink::benchlink {
 namespace {
 
 static_assert(std::endian::native == std::endian::little, "frames are little-endian");
@@ -324,4 +324,4 @@
   return frame;
 }
 
-}  // namespace workspitch::wirehost
+}  // namespace hingelink::benchlink
--- a/src/wirehost/codec.h
+++ b/src/benchlink/codec.h
@@ -1,6 +1,6 @@
 // Reads and writes the simulator's binary frames. Pure translation: nothing here decides anything.
-#ifndef WORKSPITCH_WIREHOST_CODEC_H_
-#define WORKSPITCH_WIREHOST_CODEC_H_
+#ifndef HINGELINK_BENCHLINK_CODEC_H_
+#define HINGELINK_BENCHLINK_CODEC_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,9 +10,9 @@
 #include <variant>
 #include <vector>
 
-#include "workspitch/server_policy.h"
+#include "hingelink/server_policy.h"
 
-namespace workspitch::wirehost {
+namespace hingelink::benchlink {
 
 // What is wrong with the input, and where.
 class WireError : public std::runtime_error {
@@ -56,6 +56,6 @@
   std::uint32_t count_ = 0;
 };
 
-}  // namespace workspitch::wirehost
+}  // namespace hingelink::benchlink
 
-#endif  // WORKSPITCH_WIREHOST_CODEC_H_
+#endif  // HINGELINK_BENCHLINK_CODEC_H_
--- a/src/wirehost/instance_table.cpp
+++ b/src/benchlink/instance_table.cpp
@@ -6,7 +6,7 @@
 
 #include "settings_parser.h"
 
-namespace workspitch::wirehost {
+namespace hingelink::benchlink {
 
 std::string InstanceTable::Answer(const Batch& batch) {
   std::map<std::uint32_t, std::vector<Event>> dealt;
@@ -42,4 +42,4 @@
   return reply.Take();
 }
 
-}  // namespace workspitch::wirehost
+}  // namespace hingelink::benchlink
--- a/src/wirehost/instance_table.h
+++ b/src/benchlink/instance_table.h
@@ -1,15 +1,15 @@
 // Deals the events of a batch to the instances they name and collects what they do.
-#ifndef WORKSPITCH_WIREHOST_INSTANCE_TABLE_H_
-#define WORKSPITCH_WIREHOST_INSTANCE_TABLE_H_
+#ifndef HINGELINK_BENCHLINK_INSTANCE_TABLE_H_
+#define HINGELINK_BENCHLINK_INSTANCE_TABLE_H_
 
 #include <cstdint>
 #include <map>
 #include <string>
 
 #include "codec.h"
-#include "workspitch/server_policy.h"
+#include "hingelink/server_policy.h"
 
-namespace workspitch::wirehost {
+namespace hingelink::benchlink {
 
 class InstanceTable {
  public:
@@ -20,6 +20,6 @@
   std::map<std::uint32_t, ServerPolicy> instances_;
 };
 
-}  // namespace workspitch::wirehost
+}  // namespace hingelink::benchlink
 
-#endif  // WORKSPITCH_WIREHOST_INSTANCE_TABLE_H_
+#endif  // HINGELINK_BENCHLINK_INSTANCE_TABLE_H_
--- a/src/wirehost/main.cpp
+++ b/src/benchlink/main.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-using workspitch::wirehost::WireError;
+using hingelink::benchlink::WireError;
 
 // Appends `count` bytes of standard input, in pieces, so that a false length claims no memory. Returns how
 // many there were.
@@ -30,22 +30,22 @@
 }
 
 void Serve() {
-  workspitch::wirehost::InstanceTable table;
+  hingelink::benchlink::InstanceTable table;
   std::string frame;
   for (;;) {
     frame.clear();
-    const std::size_t got = ReadBytes(frame, workspitch::wirehost::kBatchHeader);
+    const std::size_t got = ReadBytes(frame, hingelink::benchlink::kBatchHeader);
     if (got == 0) return;
-    if (got < workspitch::wirehost::kBatchHeader) {
+    if (got < hingelink::benchlink::kBatchHeader) {
       throw WireError("input ends inside a header, after " + std::to_string(got) + " bytes");
     }
-    const std::size_t length = workspitch::wirehost::FrameLength(frame);
+    const std::size_t length = hingelink::benchlink::FrameLength(frame);
     ReadBytes(frame, length - frame.size());
     if (frame.size() < length) {
       throw WireError("input ends inside a frame, after " + std::to_string(frame.size()) + " of " +
                       std::to_string(length) + " bytes");
     }
-    const std::string reply = table.Answer(workspitch::wirehost::DecodeBatch(frame));
+    const std::string reply = table.Answer(hingelink::benchlink::DecodeBatch(frame));
     if (std::fwrite(reply.data(), 1, reply.size(), stdout) != reply.size() || std::fflush(stdout) != 0) {
       throw WireError("standard output cannot be written");
     }
@@ -59,7 +59,7 @@
     Serve();
     return 0;
   } catch (const std::exception& fault) {
-    std::fprintf(stderr, "workspitch_wirehost: %s\n", fault.what());
+    std::fprintf(stderr, "hingelink_benchlink: %s\n", fault.what());
     return 1;
   }
 }
--- a/src/wirehost/settings_parser.cpp
+++ b/src/benchlink/settings_parser.cpp
@@ -8,7 +8,7 @@
 
 #include "codec.h"
 
-namespace workspitch::wirehost {
+namespace hingelink::benchlink {
 namespace {
 
 // More classes or tenants than this is taken for a damaged count.
@@ -202,4 +202,4 @@
   return s;
 }
 
-}  // namespace workspitch::wirehost
+}  // namespace hingelink::benchlink
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,4 +1,4 @@
-// Interface: include/workspitch/server_policy.h. Every decision, table and tuned value is in this file.
+// Interface: include/hingelink/server_policy.h. Every decision, table and tuned value is in this file.
 //
 // DTOC (Carter and Cherkasova, HPL-98-164R1): while the server is busy, a held request that is about to start
 // is first checked for a caller that has gone; if so it is refused instead of run. StartHeld() is that path.
@@ -15,9 +15,9 @@
 #include <unordered_map>
 #include <utility>
 
-#include "workspitch/server_policy.h"
+#include "hingelink/server_policy.h"
 
-namespace workspitch {
+namespace hingelink {
 namespace {
 
 // ---- Constants: unit, and why. All are ratios of told settings or of things seen, or spans of a habit. ----
@@ -987,4 +987,4 @@
   return logic_->Step(now_ms, events);
 }
 
-}  // namespace workspitch
+}  // namespace hingelink
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -80,7 +80,7 @@
   std::string lines;
   Flatten(settings, "", lines);
   try {
-    config.settings = workspitch::wirehost::ParseSettings(lines);
+    config.settings = hingelink::benchlink::ParseSettings(lines);
   } catch (const std::exception& wrong) {
     throw ConfigError(std::string("configuration: ") + wrong.what());
   }
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <string>
 
-#include "workspitch/server_policy.h"
+#include "hingelink/server_policy.h"
 
 namespace hingelink::node {
 
@@ -24,7 +24,7 @@
   std::uint64_t seed = 0;
   std::chrono::milliseconds stop{0};  // From the notice to leave to the kill.
   int sockets = 0;                    // Descriptors that the process may hold.
-  workspitch::Settings settings;
+  hingelink::Settings settings;
 };
 
 // Throws ConfigError with one line that names what is wrong.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using workspitch::Outcome;
+using hingelink::Outcome;
 
 // Descriptors kept from the gateways: the pool link, the registry, the log, epoll, and what is closing.
 constexpr int kReserved = 32;
@@ -111,7 +111,7 @@
 
 void Node::Bound(bool cold) {
   if (policy_) return;
-  workspitch::Settings settings = config_.settings;
+  hingelink::Settings settings = config_.settings;
   settings.cold = cold;
   policy_.emplace(settings, config_.seed);
   step_due_ = true;
@@ -121,45 +121,45 @@
 void Node::Step() {
   step_due_ = false;
   if (!policy_) return;
-  std::vector<workspitch::Event> events = table_.TakeEvents(std::chrono::system_clock::now());
+  std::vector<hingelink::Event> events = table_.TakeEvents(std::chrono::system_clock::now());
   if (leaving_ && !notice_given_) {
     notice_given_ = true;
     const Millis left = kill_at_ - Steady::now() - kFlush;
-    events.emplace_back(workspitch::DrainNotice{std::max(0.0, left.count())});
+    events.emplace_back(hingelink::DrainNotice{std::max(0.0, left.count())});
   }
   FireTimers(events);
-  for (const workspitch::Action& action : policy_->Step(Clock().count(), events)) Carry(action);
+  for (const hingelink::Action& action : policy_->Step(Clock().count(), events)) Carry(action);
   ArmTimers();
 }
 
-void Node::Carry(const workspitch::Action& action) {
+void Node::Carry(const hingelink::Action& action) {
   std::visit(
       [this](const auto& a) {
         using A = std::decay_t<decltype(a)>;
-        if constexpr (std::is_same_v<A, workspitch::Start> || std::is_same_v<A, workspitch::Refuse> ||
-                      std::is_same_v<A, workspitch::Fail>) {
+        if constexpr (std::is_same_v<A, hingelink::Start> || std::is_same_v<A, hingelink::Refuse> ||
+                      std::is_same_v<A, hingelink::Fail>) {
           table_.Do(a);
-        } else if constexpr (std::is_same_v<A, workspitch::SetTimer>) {
+        } else if constexpr (std::is_same_v<A, hingelink::SetTimer>) {
           timers_.emplace(Steady::now() + std::chrono::duration_cast<Steady::duration>(Millis(a.in_ms)),
                           a.token);
-        } else if constexpr (std::is_same_v<A, workspitch::SetHealth>) {
+        } else if constexpr (std::is_same_v<A, hingelink::SetHealth>) {
           front_.SetHealth(a.good);
-        } else if constexpr (std::is_same_v<A, workspitch::Announce>) {
+        } else if constexpr (std::is_same_v<A, hingelink::Announce>) {
           front_.SetSignal(a.value);
-        } else if constexpr (std::is_same_v<A, workspitch::CloseIdle>) {
+        } else if constexpr (std::is_same_v<A, hingelink::CloseIdle>) {
           const double ms = a.after_ms > 0 ? a.after_ms : config_.settings.idle_ms;
           front_.CloseIdle(std::chrono::milliseconds(static_cast<std::int64_t>(ms)));
-        } else if constexpr (std::is_same_v<A, workspitch::Log>) {
+        } else if constexpr (std::is_same_v<A, hingelink::Log>) {
           net::LogLine("module %s", a.text.c_str());
         }
       },
       action);
 }
 
-void Node::FireTimers(std::vector<workspitch::Event>& events) {
+void Node::FireTimers(std::vector<hingelink::Event>& events) {
   const Steady::time_point now = Steady::now();
   while (!timers_.empty() && timers_.top().first <= now) {
-    events.emplace_back(workspitch::TimerFired{timers_.top().second, pool_.gauges()});
+    events.emplace_back(hingelink::TimerFired{timers_.top().second, pool_.gauges()});
     timers_.pop();
   }
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,13 +10,13 @@
 #include <utility>
 #include <vector>
 
+#include "hingelink/server_policy.h"
 #include "net/event.h"
 #include "net/gateway_front.h"
 #include "net/pool_link.h"
 #include "net/registry_client.h"
 #include "node/config.h"
 #include "node/request_table.h"
-#include "workspitch/server_policy.h"
 
 namespace hingelink::node {
 
@@ -38,8 +38,8 @@
 
   void Take(const IncomingRequest& request);
   void Step();
-  void Carry(const workspitch::Action& action);
-  void FireTimers(std::vector<workspitch::Event>& events);
+  void Carry(const hingelink::Action& action);
+  void FireTimers(std::vector<hingelink::Event>& events);
   void ArmTimers();
   void Bound(bool cold);
   void Leave();
@@ -53,7 +53,7 @@
   RequestTable table_;
   net::PoolLink pool_;
   net::RegistryClient registry_;
-  std::optional<workspitch::ServerPolicy> policy_;
+  std::optional<hingelink::ServerPolicy> policy_;
   using Due = std::pair<Steady::time_point, std::uint32_t>;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> timers_;
   net::Timer timer_;
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -8,7 +8,7 @@
 namespace hingelink::node {
 namespace {
 
-using workspitch::Outcome;
+using hingelink::Outcome;
 
 // Ended tries that are remembered, so that none runs again: many seconds of traffic, in little memory.
 constexpr std::size_t kRecent = 8192;
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-RequestTable::RequestTable(const workspitch::Settings& settings, Front& front, Spawn spawn)
+RequestTable::RequestTable(const hingelink::Settings& settings, Front& front, Spawn spawn)
     : settings_(settings), front_(front), spawn_(std::move(spawn)) {
   for (std::size_t i = 0; i < settings.classes.size(); ++i) classes_.emplace(settings.classes[i].name, i);
 }
@@ -34,7 +34,7 @@
     front_.Deliver(request.reply_to, Failed());
     return;
   }
-  const workspitch::RequestId id = ++last_id_;
+  const hingelink::RequestId id = ++last_id_;
   Entry& entry = entries_[id];
   entry.reply_to = request.reply_to;
   entry.req = request.req;
@@ -42,7 +42,7 @@
   entry.body = request.body;
   by_req_[request.req] = id;
   waiting_[request.reply_to] = id;
-  workspitch::Arrival arrival;
+  hingelink::Arrival arrival;
   arrival.id = id;
   arrival.held_kb = request.held_kb;
   arrival.hint_ms = request.work.count();
@@ -55,10 +55,10 @@
   arrivals_.push_back({request.arrived, request.arrived + timeout});
 }
 
-std::vector<workspitch::Event> RequestTable::TakeEvents(UnixTime now) {
+std::vector<hingelink::Event> RequestTable::TakeEvents(UnixTime now) {
   auto clocked = arrivals_.begin();
-  for (workspitch::Event& event : events_) {
-    auto* arrival = std::get_if<workspitch::Arrival>(&event);
+  for (hingelink::Event& event : events_) {
+    auto* arrival = std::get_if<hingelink::Arrival>(&event);
     if (arrival == nullptr) continue;
     // A stamp from the future counts as now.
     const UnixTime arrived = std::min(now, clocked->arrived);
@@ -79,14 +79,14 @@
   const auto it = entries_.find(waiting->second);
   waiting_.erase(waiting);
   it->second.waiting = false;
-  events_.emplace_back(workspitch::CallerGone{it->first});
+  events_.emplace_back(hingelink::CallerGone{it->first});
   if (!it->second.running) Leave(it);
 }
 
 void RequestTable::Finished(const RunResult& run) {
   const auto it = ByReq(run.req);
   if (it == entries_.end() || !it->second.running) return;
-  events_.emplace_back(workspitch::Finished{it->first, run.outcome, run.elapsed.count()});
+  events_.emplace_back(hingelink::Finished{it->first, run.outcome, run.elapsed.count()});
   switch (run.outcome) {
     case Outcome::kOk:
       Answer(it, Served(run.result));
@@ -106,13 +106,13 @@
 }
 
 void RequestTable::Resend(const std::function<bool(Mark)>& processed) {
-  std::vector<workspitch::RequestId> ids;
+  std::vector<hingelink::RequestId> ids;
   for (const auto& [id, entry] : entries_) {
     // A run that the pool has read goes on without a link; one whose answer was given is not begun.
     if (entry.running && entry.waiting && !processed(entry.mark)) ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
-  for (const workspitch::RequestId id : ids) SendSpawn(entries_.at(id));
+  for (const hingelink::RequestId id : ids) SendSpawn(entries_.at(id));
 }
 
 void RequestTable::SendSpawn(Entry& entry) {
@@ -120,14 +120,14 @@
   if (entry.mark != kNeverSent) ++entry.spawns;
 }
 
-void RequestTable::Do(const workspitch::Start& action) {
+void RequestTable::Do(const hingelink::Start& action) {
   const auto it = entries_.find(action.id);
   if (it == entries_.end() || it->second.running) return;
   it->second.running = true;
   SendSpawn(it->second);
 }
 
-void RequestTable::Do(const workspitch::Refuse& action) {
+void RequestTable::Do(const hingelink::Refuse& action) {
   const auto it = entries_.find(action.id);
   if (it == entries_.end()) return;
   // Guards the promise of a refusal.
@@ -144,7 +144,7 @@
   Leave(it);
 }
 
-void RequestTable::Do(const workspitch::Fail& action) {
+void RequestTable::Do(const hingelink::Fail& action) {
   const auto it = entries_.find(action.id);
   if (it == entries_.end()) return;
   Answer(it, Failed());
@@ -152,9 +152,9 @@
 }
 
 void RequestTable::AnswerAll() {
-  std::vector<workspitch::RequestId> ids;
+  std::vector<hingelink::RequestId> ids;
   for (const auto& [to, id] : waiting_) ids.push_back(id);
-  for (const workspitch::RequestId id : ids) {
+  for (const hingelink::RequestId id : ids) {
     const auto it = entries_.find(id);
     Answer(it, it->second.running ? Failed() : Refused());
   }
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -13,15 +13,15 @@
 #include <unordered_set>
 #include <vector>
 
+#include "hingelink/server_policy.h"
 #include "node/front.h"
-#include "workspitch/server_policy.h"
 
 namespace hingelink::node {
 
 // How a run ended, as the worker pool tells.
 struct RunResult {
   std::uint64_t req = 0;
-  workspitch::Outcome outcome = workspitch::Outcome::kError;
+  hingelink::Outcome outcome = hingelink::Outcome::kError;
   Millis elapsed{0};
   std::string_view result;
 };
@@ -33,7 +33,7 @@
   // Sends a run to the pool. Gives a mark for Resend(), or kNeverSent.
   using Spawn = std::function<Mark(std::uint64_t req, std::string_view kind, std::string_view body)>;
 
-  RequestTable(const workspitch::Settings& settings, Front& front, Spawn spawn);
+  RequestTable(const hingelink::Settings& settings, Front& front, Spawn spawn);
 
   // ---- What came; each adds what the module must know to events(). ----
   void Take(const IncomingRequest& request);
@@ -45,13 +45,13 @@
   void Resend(const std::function<bool(Mark)>& processed);
 
   // The events since the last call, with the times of arrivals as of `now`.
-  std::vector<workspitch::Event> TakeEvents(UnixTime now);
+  std::vector<hingelink::Event> TakeEvents(UnixTime now);
   bool has_events() const { return !events_.empty(); }
 
   // ---- The module's actions on requests ----
-  void Do(const workspitch::Start& action);
-  void Do(const workspitch::Refuse& action);
-  void Do(const workspitch::Fail& action);
+  void Do(const hingelink::Start& action);
+  void Do(const hingelink::Refuse& action);
+  void Do(const hingelink::Fail& action);
 
   // Requests that are still owed an answer.
   std::size_t unanswered() const { return waiting_.size(); }
@@ -69,7 +69,7 @@
     int spawns = 0;
     Mark mark = kNeverSent;
   };
-  using Entries = std::unordered_map<workspitch::RequestId, Entry>;
+  using Entries = std::unordered_map<hingelink::RequestId, Entry>;
   struct ReplyToHash {
     std::size_t operator()(const ReplyTo& to) const {
       return std::hash<std::uint64_t>()(to.connection * 0x9e3779b97f4a7c15u + to.stream);
@@ -81,21 +81,21 @@
   void SendSpawn(Entry& entry);
   Entries::iterator ByReq(std::uint64_t req);
 
-  const workspitch::Settings& settings_;
+  const hingelink::Settings& settings_;
   Front& front_;
   Spawn spawn_;
   std::unordered_map<std::string_view, std::size_t> classes_;
-  workspitch::RequestId last_id_ = 0;
+  hingelink::RequestId last_id_ = 0;
   Entries entries_;
-  std::unordered_map<std::uint64_t, workspitch::RequestId> by_req_;
-  std::unordered_map<ReplyTo, workspitch::RequestId, ReplyToHash> waiting_;
+  std::unordered_map<std::uint64_t, hingelink::RequestId> by_req_;
+  std::unordered_map<ReplyTo, hingelink::RequestId, ReplyToHash> waiting_;
   std::deque<std::uint64_t> recent_order_;  // Tries that have ended, oldest first.
   std::unordered_set<std::uint64_t> recent_;
   struct Clocked {
     UnixTime arrived;
     UnixTime due;
   };
-  std::vector<workspitch::Event> events_;
+  std::vector<hingelink::Event> events_;
   std::vector<Clocked> arrivals_;  // One for each Arrival in events_, in order.
 };
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -3,9 +3,9 @@
 #include <string>
 #include <utility>
 
-#include "workspitch/server_policy.h"
+#include "hingelink/server_policy.h"
 
-namespace workspitch {
+namespace hingelink {
 namespace {
 
 bool BadTime(double value) { return !std::isfinite(value) || value < 0; }
@@ -63,4 +63,4 @@
   return {};
 }
 
-}  // namespace workspitch
+}  // namespace hingelink
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -1,11 +1,11 @@
 // Drives one instance through arrival, start, finish, departure and drain, by the public header alone.
-#include <workspitch/server_policy.h>
+#include <hingelink/server_policy.h>
 
 #include <cstdio>
 #include <variant>
 #include <vector>
 
-namespace ws = workspitch;
+namespace ws = hingelink;
 
 namespace {
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -8,9 +8,9 @@
 #include <variant>
 #include <vector>
 
-#include "workspitch/server_policy.h"
+#include "hingelink/server_policy.h"
 
-namespace workspitch {
+namespace hingelink {
 namespace {
 
 constexpr double kTick = 2;
@@ -1409,4 +1409,4 @@
 }
 
 }  // namespace
-}  // namespace workspitch
+}  // namespace hingelink
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,8 +5,8 @@
 for kind in plain sanitize; do
   flag=OFF
   [ "$kind" = sanitize ] && flag=ON
-  cmake -S . -B "build-$kind" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DWORKSPITCH_BUILD_TESTS=ON \
-    -DWORKSPITCH_WERROR=ON -DWORKSPITCH_SANITIZE="$flag"
+  cmake -S . -B "build-$kind" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DHINGELINK_BUILD_TESTS=ON \
+    -DHINGELINK_WERROR=ON -DHINGELINK_SANITIZE="$flag"
   cmake --build "build-$kind" -j"$(nproc)"
   ctest --test-dir "build-$kind" --output-on-failure -j4
 done
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -9,7 +9,7 @@
 #include "instance_table.h"
 #include "settings_parser.h"
 
-namespace workspitch::wirehost {
+namespace hingelink::benchlink {
 namespace {
 
 std::string Hex(std::string_view text) {
@@ -193,4 +193,4 @@
 }
 
 }  // namespace
-}  // namespace workspitch::wirehost
+}  // namespace hingelink::benchlink
