--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -20,9 +20,10 @@
 // Unread bytes held of one connection: several frames, and always more than the longest that is kept.
 constexpr std::size_t kReadAhead = 4 * proto::kMostKept;
 // Unsent bytes from which a connection is not read: its gateway must take answers before it asks for more.
-constexpr std::size_t kUnsentPause = 64 * 1024;
-// Unsent bytes at which it is given up: above the pause, plus 32 whole answers.
-constexpr std::size_t kUnsentMost = 256 * 1024;
+constexpr std::size_t kUnsentPause = 16 * 1024;
+// Unsent bytes at which it is given up: above the pause and 32 of the longest answers. All connections that
+// the descriptors allow, each just under it, still fit into the node's memory.
+constexpr std::size_t kUnsentMost = 160 * 1024;
 // A gateway that takes nothing for so long is gone; machine pauses are much shorter.
 constexpr auto kWriteStall = 30s;
 constexpr auto kListenAgain = 50ms;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -91,7 +91,8 @@
 
 void Node::Run() {
   for (;;) {
-    event_base_loop(base_.get(), EVLOOP_ONCE);
+    // An action may have left an event for the module (the end of a replay): that one waits for nothing.
+    event_base_loop(base_.get(), table_.has_events() ? EVLOOP_NONBLOCK : EVLOOP_ONCE);
     if (step_due_ || table_.has_events() || (leaving_ && !notice_given_)) Step();
     front_.Sweep();
     if (leaving_) {
@@ -137,7 +138,8 @@
       [this](const auto& a) {
         using A = std::decay_t<decltype(a)>;
         if constexpr (std::is_same_v<A, hingelink::Start> || std::is_same_v<A, hingelink::Refuse> ||
-                      std::is_same_v<A, hingelink::Fail>) {
+                      std::is_same_v<A, hingelink::Fail> || std::is_same_v<A, hingelink::KeepKey> ||
+                      std::is_same_v<A, hingelink::DropKey> || std::is_same_v<A, hingelink::Replay>) {
           table_.Do(a);
         } else if constexpr (std::is_same_v<A, hingelink::SetTimer>) {
           timers_.emplace(Steady::now() + std::chrono::duration_cast<Steady::duration>(Millis(a.in_ms)),
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -40,10 +40,16 @@
   entry.req = request.req;
   entry.cls = cls->second;
   entry.body = request.body;
+  entry.subject = request.subject;
+  if (Shares(entry)) {
+    const Kept* kept = Fresh({entry.cls, entry.subject}, std::chrono::steady_clock::now());
+    if (kept != nullptr) entry.forerunner = kept->id;
+  }
   by_req_[request.req] = id;
   waiting_[request.reply_to] = id;
   hingelink::Arrival arrival;
   arrival.id = id;
+  arrival.forerunner = entry.forerunner;
   arrival.held_kb = request.held_kb;
   arrival.hint_ms = request.work.count();
   arrival.subject = request.subject;
@@ -89,6 +95,11 @@
   events_.emplace_back(hingelink::Finished{it->first, run.outcome, run.elapsed.count()});
   switch (run.outcome) {
     case Outcome::kOk:
+      if (const auto kept = keys_.find({it->second.cls, it->second.subject});
+          kept != keys_.end() && kept->second.id == it->first) {
+        kept->second.ended_well = std::chrono::steady_clock::now();
+        kept->second.result = run.result;
+      }
       Answer(it, Served(run.result));
       break;
     case Outcome::kMoot:
@@ -151,6 +162,48 @@
   if (!it->second.running) Leave(it);
 }
 
+bool RequestTable::Shares(const Entry& entry) const {
+  return settings_.fresh_ms > 0 && entry.subject != 0 &&
+         settings_.classes[entry.cls].repeat == hingelink::Repeat::kSafe;
+}
+
+const RequestTable::Kept* RequestTable::Fresh(const Key& key, SteadyTime now) const {
+  const auto kept = keys_.find(key);
+  if (kept == keys_.end() || kept->second.until <= now) return nullptr;
+  const auto& ended = kept->second.ended_well;
+  if (ended ? Millis(now - *ended).count() > settings_.fresh_ms : entries_.count(kept->second.id) == 0) {
+    return nullptr;
+  }
+  return &kept->second;
+}
+
+void RequestTable::Do(const hingelink::KeepKey& action) {
+  const auto it = entries_.find(action.id);
+  if (it == entries_.end() || !Shares(it->second)) return;
+  const SteadyTime now = std::chrono::steady_clock::now();
+  // Guards against a table that grows with every subject ever read; the module bounds those in force.
+  std::erase_if(keys_, [now](const auto& kept) { return kept.second.until <= now; });
+  Kept& kept = keys_[{it->second.cls, it->second.subject}];
+  if (kept.id != action.id) kept = Kept{.id = action.id, .until = {}, .ended_well = {}, .result = {}};
+  kept.until = now + std::chrono::duration_cast<SteadyTime::duration>(Millis(action.ttl_ms));
+}
+
+void RequestTable::Do(const hingelink::DropKey& action) {
+  std::erase_if(keys_, [&action](const auto& kept) { return kept.second.id == action.id; });
+}
+
+void RequestTable::Do(const hingelink::Replay& action) {
+  const auto it = entries_.find(action.id);
+  if (it == entries_.end() || it->second.running) return;
+  const auto kept = keys_.find({it->second.cls, it->second.subject});
+  // Guards against an answer that no run made: the entry may have run out, or gone to a newer read, since.
+  const bool good =
+      kept != keys_.end() && kept->second.id == it->second.forerunner && kept->second.ended_well;
+  events_.emplace_back(hingelink::Finished{action.id, good ? Outcome::kOk : Outcome::kError, 0});
+  Answer(it, good ? Served(kept->second.result) : Failed());
+  Leave(it);
+}
+
 void RequestTable::AnswerAll() {
   std::vector<hingelink::RequestId> ids;
   for (const auto& [to, id] : waiting_) ids.push_back(id);
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -3,14 +3,18 @@
 #ifndef HINGELINK_NODE_REQUEST_TABLE_H_
 #define HINGELINK_NODE_REQUEST_TABLE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "hingelink/server_policy.h"
@@ -29,6 +33,7 @@
 class RequestTable {
  public:
   using Mark = std::uint64_t;
+  using SteadyTime = std::chrono::steady_clock::time_point;
   static constexpr Mark kNeverSent = UINT64_MAX;
   // Sends a run to the pool. Gives a mark for Resend(), or kNeverSent.
   using Spawn = std::function<Mark(std::uint64_t req, std::string_view kind, std::string_view body)>;
@@ -52,6 +57,9 @@
   void Do(const hingelink::Start& action);
   void Do(const hingelink::Refuse& action);
   void Do(const hingelink::Fail& action);
+  void Do(const hingelink::KeepKey& action);
+  void Do(const hingelink::DropKey& action);
+  void Do(const hingelink::Replay& action);
 
   // Requests that are still owed an answer.
   std::size_t unanswered() const { return waiting_.size(); }
@@ -68,7 +76,17 @@
     bool running = false;
     int spawns = 0;
     Mark mark = kNeverSent;
+    std::uint64_t subject = 0;
+    hingelink::RequestId forerunner = 0;
   };
+  // A read whose answer serves others on its subject while it is fresh.
+  struct Kept {
+    hingelink::RequestId id = 0;
+    SteadyTime until{};
+    std::optional<SteadyTime> ended_well;
+    std::string result;
+  };
+  using Key = std::pair<std::size_t, std::uint64_t>;  // Class and subject.
   using Entries = std::unordered_map<hingelink::RequestId, Entry>;
   struct ReplyToHash {
     std::size_t operator()(const ReplyTo& to) const {
@@ -79,6 +97,9 @@
   void Answer(Entries::iterator it, const FinalAnswer& answer);
   void Leave(Entries::iterator it);
   void SendSpawn(Entry& entry);
+  bool Shares(const Entry& entry) const;
+  // The kept read that a new one on `key` repeats, or null.
+  const Kept* Fresh(const Key& key, SteadyTime now) const;
   Entries::iterator ByReq(std::uint64_t req);
 
   const hingelink::Settings& settings_;
@@ -89,6 +110,7 @@
   Entries entries_;
   std::unordered_map<std::uint64_t, hingelink::RequestId> by_req_;
   std::unordered_map<ReplyTo, hingelink::RequestId, ReplyToHash> waiting_;
+  std::map<Key, Kept> keys_;
   std::deque<std::uint64_t> recent_order_;  // Tries that have ended, oldest first.
   std::unordered_set<std::uint64_t> recent_;
   struct Clocked {
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -156,6 +156,28 @@
   gateway.ReadAnswer(3, 1);
 }
 
+// Reads of one subject share the run of the first while its answer is fresh; what no run made is not served.
+void SharedReads() {
+  RunningNode node;
+  PoolLink link(node.pool, 0);
+  Settle(link);
+  Gateway gateway(node.port());
+  const std::map<std::string, std::string> read = {{"kind", "usage-view"}, {"subject", "7f3a9c21e0b4d655"}};
+  gateway.Write(Gateway::Request(1, kOne, "x", read));
+  link.Command();
+  gateway.Write(Gateway::Request(2, kTwo, "x", read));
+  link.Finish(1, kOne, "error", "");
+  gateway.ReadAnswer(1, 2);
+  assert(link.Command() == "spawn " + kTwo + " usage-view 1");  // The first failed: the next runs itself.
+  link.Finish(2, kTwo, "complete", "usage");
+  assert(gateway.ReadAnswer(2, 0).body == "usage");
+  gateway.Write(Gateway::Request(3, kThree, "x", read));
+  assert(gateway.ReadAnswer(3, 0).body == "usage");
+  // Another subject runs for itself.
+  gateway.Write(Gateway::Request(4, "00000000000000a4", "x", {{"kind", "usage-view"}, {"subject", kOne}}));
+  assert(link.Command().find("a4") != std::string::npos);
+}
+
 // A run that is overdue is failed by its due time, and its later finish is dropped.
 void OverdueRun() {
   RunningNode node;
@@ -255,9 +277,10 @@
 
 int main(int argc, char** argv) {
   const std::pair<const char*, void (*)()> stories[] = {
-      {"serves", Serves},      {"bad-requests", BadRequests},     {"framing-faults", FramingFaults},
-      {"lost-link", LostLink}, {"overdue-run", OverdueRun},       {"drains", Drains},
-      {"at-limit", AtLimit},   {"registry-fails", RegistryFails}, {"slow-reader", SlowReader},
+      {"serves", Serves},          {"bad-requests", BadRequests}, {"framing-faults", FramingFaults},
+      {"lost-link", LostLink},     {"shared-reads", SharedReads}, {"overdue-run", OverdueRun},
+      {"drains", Drains},          {"at-limit", AtLimit},         {"registry-fails", RegistryFails},
+      {"slow-reader", SlowReader},
   };
   for (const auto& [name, story] : stories) {
     if (argc != 2 || std::strcmp(argv[1], name) != 0) continue;
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -242,7 +242,7 @@
       "coldMs":16000.0},
       "specifics":{"cpus":1,"memoryKb":16998.0,"runFactor":4.0,"signal":"window","heardForMs":100.0,
       "idleMs":30000.0,"passesDeadline":true,"tellsGone":true,"clientsTotal":3,"dependsOn":"silent",
-      "gauges":["cpu_busy","runnable","mem_used","sockets"]}})";
+      "freshMs":60000.0,"keyKb":1.0,"gauges":["cpu_busy","runnable","mem_used","sockets"]}})";
     return R"({"name":"n3","listen":"127.0.0.1:0","pool":")" + pool.Address() + R"(","registry":")" +
            registry.Address() + R"(","seed":"8c1f30d27a5be964","stop_ms":)" + std::to_string(stop_ms) +
            R"(,"limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(sockets) +
