Send swallowed spawns again only behind the whole piece that brought the barrier

Found by reading: settled() ran inside the parse loop (net/pool_link.cpp, Take), so a finish that lay right behind the barrier in the same piece came too late to stop a second spawn of an order. It now runs after the piece is consumed; the story lost-link has that case. Also: a swallowed run whose caller left is sent again or ended, as the module counted it for ever; the last answers of a drain are flushed before the sockets close; a connection that was given up is read no further; the lost link is logged once a spell.

--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -101,7 +101,7 @@
     last_used_ = Steady::now();
     const std::string_view all = Arrived(bev_.get());
     std::size_t done = 0;
-    while (!ending_ && !reading_paused_) {
+    while (!ending_ && !reading_paused_ && !given_up_) {
       const std::size_t skipped = std::min(skip_, all.size() - done);
       skip_ -= skipped;
       done += skipped;
--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -43,6 +43,7 @@
       [](bufferevent* bev, short what, void* self) {
         if ((what & BEV_EVENT_CONNECTED) != 0) {
           SetNoDelay(bufferevent_getfd(bev));
+          static_cast<PoolLink*>(self)->connected_ = true;
         } else {
           static_cast<PoolLink*>(self)->Lose((what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
         }
@@ -59,19 +60,23 @@
 
 void PoolLink::Lose(const char* reason) {
   if (!bev_) return;
-  LogLine("pool-link-end reason=%s last_notice=%llu", reason, static_cast<unsigned long long>(last_notice_));
+  // One line for a loss, not for each try to connect while the pool is away.
+  if (connected_ || backoff_ == kBackoffLeast)
+    LogLine("pool-link-end reason=%s last_notice=%llu", reason,
+            static_cast<unsigned long long>(last_notice_));
   bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
   bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
   lost_ = std::move(bev_);
   // A link lost before it settled adds nothing to what is known of the spawns.
   if (settled_) answered_at_loss_ = answered_;
-  bound_ = settled_ = false;
+  connected_ = bound_ = settled_ = false;
   silence_.Stop();
   reconnect_.After(backoff_);
   backoff_ = std::min<Steady::duration>(2 * backoff_, kBackoffMost);
 }
 
 void PoolLink::Read() {
+  const bool was_settled = settled_;
   const std::string_view all = Arrived(bev_.get());
   std::size_t done = 0;
   while (bev_ && done < all.size()) {
@@ -82,6 +87,8 @@
     done += size;
   }
   Consume(bev_.get(), done);
+  // Only now: guards against a second run of what ended behind the barrier, in the same piece.
+  if (settled_ && !was_settled) events_.settled();
 }
 
 bool PoolLink::Take(const proto::PoolMessage& message) {
@@ -105,10 +112,7 @@
     answered_ = tag;
     gauges_ = polled->gauges;
     silence_.Stop();
-    if (!settled_ && bound_ && tag >= barrier_) {
-      settled_ = true;
-      events_.settled();
-    }
+    settled_ = settled_ || (bound_ && tag >= barrier_);
   } else if (const auto* unknown = std::get_if<proto::CommandUnknown>(&message)) {
     LogLine("pool-unknown req=%s", proto::ReqText(unknown->req).c_str());
     if (unknown->command == "spawn") events_.spawn_unknown(unknown->req);
--- a/src/net/pool_link.h
+++ b/src/net/pool_link.h
@@ -53,6 +53,7 @@
   Timer reconnect_;
   Timer silence_;
   Steady::duration backoff_;
+  bool connected_ = false;
   bool bound_ = false;    // On this link.
   bool settled_ = false;  // On this link.
   std::uint64_t last_notice_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -22,6 +22,7 @@
 constexpr auto kCloseListener = 500ms;
 // Before the kill: the process ends, whoever is still connected.
 constexpr auto kEnd = 60ms;
+constexpr auto kLastFlush = 20ms;
 constexpr auto kDrainLook = 10ms;
 
 Outcome ToOutcome(proto::RunEnd end) {
@@ -81,10 +82,10 @@
 Node::~Node() { front_.Shutdown(); }
 
 void Node::Take(const IncomingRequest& request) {
-  if (policy_) {
+  if (policy_ && !stopped_) {
     table_.Take(request);
   } else {
-    // Without a worker pool nothing can run, nor is there a module to hold it.
+    // Without a worker pool nothing can run; without a module, before and after its life, nothing is held.
     front_.Deliver(request.reply_to, Refused());
   }
 }
@@ -103,7 +104,14 @@
       drain_timer_.After(kDrainLook);
     }
   }
+  // The last answers must be out before the process ends; what is still read is turned away.
+  stopped_ = true;
   table_.AnswerAll();
+  while (!front_.AllSent() && Steady::now() < kill_at_ - kLastFlush) {
+    drain_timer_.After(kDrainLook);
+    event_base_loop(base_.get(), EVLOOP_ONCE);
+    front_.Sweep();
+  }
   net::LogLine("stopped unanswered=%zu connections=%zu", table_.unanswered(), front_.connections());
   front_.Shutdown();
   // libevent closes a freed bufferevent's socket in the next round of its loop.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,6 +64,7 @@
   bool leaving_ = false;
   bool notice_given_ = false;
   bool listening_ = true;
+  bool stopped_ = false;  // The module has had its last say.
   Steady::time_point kill_at_{};
   net::Timer drain_timer_;
 };
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -119,11 +119,20 @@
 void RequestTable::Resend(const std::function<bool(Mark)>& processed) {
   std::vector<hingelink::RequestId> ids;
   for (const auto& [id, entry] : entries_) {
-    // A run that the pool has read goes on without a link; one whose answer was given is not begun.
-    if (entry.running && entry.waiting && !processed(entry.mark)) ids.push_back(id);
+    // A run that the pool has read goes on without a link.
+    if (entry.running && !processed(entry.mark)) ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
-  for (const hingelink::RequestId id : ids) SendSpawn(entries_.at(id));
+  for (const hingelink::RequestId id : ids) {
+    Entry& entry = entries_.at(id);
+    if (entry.waiting || entry.spawns > 0) {
+      // Also where nobody waits: the pool tells then that nothing was started, or how the run ended. Guards
+      // against a run that the module counts for ever.
+      SendSpawn(entry);
+    } else {
+      Finished({.req = entry.req, .outcome = Outcome::kMoot, .elapsed = Millis(0), .result = {}});
+    }
+  }
 }
 
 void RequestTable::SendSpawn(Entry& entry) {
--- a/src/proto/pool_lines.h
+++ b/src/proto/pool_lines.h
@@ -12,7 +12,7 @@
 
 namespace hingelink::proto {
 
-inline constexpr std::size_t kMostLine = 8192;
+inline constexpr std::size_t kMostLine = 65'536;    // Remarks are as long as the pool likes.
 inline constexpr std::size_t kMostResult = 65'536;  // The protocol allows 4 KiB.
 
 enum class RunEnd { kComplete, kError, kCancelled, kUnknown };
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -13,7 +13,8 @@
 using peers::PoolLink;
 using peers::RunningNode;
 
-const std::string kOne = "00000000000000a1", kTwo = "00000000000000a2", kThree = "00000000000000a3";
+const std::string kOne = "00000000000000a1", kTwo = "00000000000000a2", kThree = "00000000000000a3",
+                  kFour = "00000000000000a4";
 
 // Takes the barrier poll that follows `bound`, so that the link carries commands.
 void Settle(PoolLink& link) {
@@ -139,21 +140,31 @@
     gateway.Write(Gateway::Request(2, kTwo, "second"));
     assert(link.Command().starts_with("spawn " + kTwo));
   }
-  // That one was swallowed: it is sent again, behind the barrier.
-  PoolLink link(node.pool, 2);
+  {
+    // That one was swallowed: it is sent again, behind the barrier.
+    PoolLink link(node.pool, 2);
+    link.Bound();
+    const std::string barrier = link.Line();
+    assert(barrier.starts_with("poll "));
+    link.AnswerPoll(barrier);
+    std::string body;
+    assert(link.Command(&body).starts_with("spawn " + kTwo) && body == "second");
+    link.Finish(3, kTwo, "complete", "sent twice");
+    assert(gateway.ReadAnswer(2, 0).body == "sent twice");
+    gateway.Write(Gateway::Request(3, kThree, "third"));
+    assert(link.Command().starts_with("spawn " + kThree));
+  }
+  // That one ends right behind the barrier: it is not sent again.
+  PoolLink link(node.pool, 3);
   link.Bound();
-  const std::string barrier = link.Line();
-  assert(barrier.starts_with("poll "));
-  link.AnswerPoll(barrier);
-  std::string body;
-  assert(link.Command(&body).starts_with("spawn " + kTwo) && body == "second");
-  link.Finish(3, kTwo, "complete", "sent twice");
-  assert(gateway.ReadAnswer(2, 0).body == "sent twice");
+  const std::string tag = link.Line().substr(5);
+  link.Write("polled " + tag + " 0.1 0 0.1 1\r\nfinished 4 " + kThree + " complete 9 5\r\nthird\r\n");
+  assert(gateway.ReadAnswer(3, 0).body == "third");
+  gateway.Write(Gateway::Request(4, kFour, "fourth"));
+  assert(link.Command().starts_with("spawn " + kFour));
   // A spawn that the pool does not know never ran.
-  gateway.Write(Gateway::Request(3, kThree, "third"));
-  link.Command();
-  link.Write("unknown spawn " + kThree + "\r\n");
-  gateway.ReadAnswer(3, 1);
+  link.Write("unknown spawn " + kFour + "\r\n");
+  gateway.ReadAnswer(4, 1);
 }
 
 // Reads of one subject share the run of the first while its answer is fresh; what no run made is not served.
@@ -174,7 +185,7 @@
   gateway.Write(Gateway::Request(3, kThree, "x", read));
   assert(gateway.ReadAnswer(3, 0).body == "usage");
   // Another subject runs for itself.
-  gateway.Write(Gateway::Request(4, "00000000000000a4", "x", {{"kind", "usage-view"}, {"subject", kOne}}));
+  gateway.Write(Gateway::Request(4, kFour, "x", {{"kind", "usage-view"}, {"subject", kOne}}));
   assert(link.Command().find("a4") != std::string::npos);
 }
 
@@ -199,7 +210,7 @@
   gateway.Write(Gateway::Encode(2, 3, "") + Gateway::Encode(6, 9, std::string(1, '\0')));
   assert(gateway.Read().type == 7);  // The node has read that the caller left.
   link.Finish(2, kThree, "complete", "unheard");
-  gateway.Write(Gateway::Request(4, "00000000000000a4", "x", {{"ts", std::to_string(sent - 5000)}}));
+  gateway.Write(Gateway::Request(4, kFour, "x", {{"ts", std::to_string(sent - 5000)}}));
   gateway.ReadAnswer(4, 1);
 }
 
