Log the end of the registry's connection with its reason, as for any other

Each connection that ends leaves one line; the registry's left none when it was closed between two reports (net/registry_client.cpp, Drop and Retire).

--- a/src/net/registry_client.cpp
+++ b/src/net/registry_client.cpp
@@ -56,6 +56,7 @@
       [](bufferevent* bev, short what, void* self) {
         if ((what & BEV_EVENT_CONNECTED) != 0) {
           SetNoDelay(bufferevent_getfd(bev));
+          static_cast<RegistryClient*>(self)->connected_ = true;
         } else {
           static_cast<RegistryClient*>(self)->Drop((what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
         }
@@ -85,7 +86,7 @@
   if (failing_) LogLine("registry-reports-again");
   failing_ = waiting_ = false;
   overdue_.Stop();
-  if (response.close) Retire();
+  if (response.close) Retire("response-closes");
   next_.After(report_next_ ? Steady::duration(0) : kPeriod);
   report_next_ = false;
 }
@@ -94,14 +95,16 @@
 void RegistryClient::Drop(const char* reason) {
   if (waiting_ && !failing_) LogLine("registry-report-failed reason=%s", reason);
   failing_ = failing_ || waiting_;
-  Retire();
+  Retire(reason);
   overdue_.Stop();
   if (waiting_) next_.After(kRetry);
   waiting_ = false;
 }
 
-void RegistryClient::Retire() {
+void RegistryClient::Retire(const char* reason) {
   if (!bev_) return;
+  if (connected_) LogLine("registry-connection-end reason=%s", reason);
+  connected_ = false;
   bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
   bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
   dropped_ = std::move(bev_);
--- a/src/net/registry_client.h
+++ b/src/net/registry_client.h
@@ -19,7 +19,7 @@
   void Connect();
   void Read();
   void Drop(const char* reason);
-  void Retire();
+  void Retire(const char* reason);
 
   event_base* base_;
   sockaddr_in address_;
@@ -29,6 +29,7 @@
   BufferPtr dropped_;  // Freed at the next report, outside its own callbacks.
   Timer next_;
   Timer overdue_;
+  bool connected_ = false;
   bool draining_ = false;
   bool waiting_ = false;      // For a response.
   bool report_next_ = false;  // As soon as the response is in.
