Take up new pool and registry addresses on SIGHUP instead of ending

No handler was installed (src/node/node.cpp, constructor).

The whole file is read again; a bad one is logged and changes nothing. The pool link leaves the old address at once (PoolLink::Move) and binds at the new one with the same last notice and the same barrier, so a run that went on is not sent again. The registry client reports at the new address at once. Other fields that differ are named by needs_restart=yes and wait for one.

Story 'reloads' (bad file, move with a run under way, second SIGHUP before the first link settled); without the handler the signal ends the test program.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -29,7 +29,8 @@
       const hingelink::node::Config read = hingelink::node::ReadConfig(config);
       std::printf("%s: good, %zu classes\n", config.c_str(), read.settings.classes.size());
     } else if (*serve) {
-      hingelink::node::Node(hingelink::node::ReadConfig(config)).Run();
+      const auto read = [&config] { return hingelink::node::ReadConfig(config); };
+      hingelink::node::Node(read(), read).Run();
     }
     return 0;
   } catch (const std::exception& fault) {
--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -75,6 +75,16 @@
   backoff_ = std::min<Steady::duration>(2 * backoff_, kBackoffMost);
 }
 
+// Guards against commands that die with the old address: it takes nothing new, and closes a little later. Not
+// to be called from within the link's own callbacks.
+void PoolLink::Move(const sockaddr_in& pool) {
+  address_ = pool;
+  Lose("moved");
+  backoff_ = kBackoffLeast;
+  reconnect_.Stop();
+  Connect();
+}
+
 void PoolLink::Read() {
   const bool was_settled = settled_;
   const std::string_view all = Arrived(bev_.get());
--- a/src/net/pool_link.h
+++ b/src/net/pool_link.h
@@ -28,6 +28,8 @@
 
   PoolLink(event_base* base, const sockaddr_in& pool, Events events);
 
+  // Leaves the address for another at once: what is still to come of the old link comes again on the new one.
+  void Move(const sockaddr_in& pool);
   // Sends it, or returns kNeverSent where the link does not carry commands just now.
   Mark Spawn(std::uint64_t req, std::string_view kind, std::string_view body);
   // Asks for the gauges, unless an answer is still to come.
--- a/src/net/registry_client.cpp
+++ b/src/net/registry_client.cpp
@@ -35,6 +35,16 @@
   if (!waiting_) Report();
 }
 
+// Not to be called from within the client's own callbacks.
+void RegistryClient::Move(const sockaddr_in& registry, std::string host) {
+  address_ = registry;
+  host_ = std::move(host);
+  Retire("moved");
+  overdue_.Stop();
+  waiting_ = report_next_ = false;
+  Report();
+}
+
 void RegistryClient::Report() {
   if (waiting_) return;
   dropped_.reset();
--- a/src/net/registry_client.h
+++ b/src/net/registry_client.h
@@ -13,6 +13,8 @@
   RegistryClient(event_base* base, const sockaddr_in& registry, std::string host, std::string name);
   // Reports `draining` from now on, at once.
   void Drain();
+  // Reports to another address from now on, at once.
+  void Move(const sockaddr_in& registry, std::string host);
 
  private:
   void Report();
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -86,6 +86,10 @@
   }
   const std::string wrong = config.settings.Validate();
   if (!wrong.empty()) throw ConfigError("configuration: settings: " + wrong);
+  Json rest = json;
+  rest.erase("pool");
+  rest.erase("registry");
+  config.text = rest.dump(-1, ' ', false, Json::error_handler_t::replace);
   return config;
 }
 
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -25,6 +25,10 @@
   std::chrono::milliseconds stop{0};  // From the notice to leave to the kill.
   int sockets = 0;                    // Descriptors that the process may hold.
   hingelink::Settings settings;
+  std::string text;  // All but the addresses of the pool and the registry, as JSON.
+
+  // Whether nothing differs that takes a restart.
+  bool SameButForPeers(const Config& other) const { return text == other.text; }
 };
 
 // Throws ConfigError with one line that names what is wrong.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,9 @@
 #include "node/node.h"
 
 #include <csignal>
+#include <exception>
 #include <type_traits>
+#include <utility>
 #include <variant>
 
 #include "net/log.h"
@@ -47,8 +49,9 @@
 
 }  // namespace
 
-Node::Node(Config config)
+Node::Node(Config config, std::function<Config()> reread)
     : config_(std::move(config)),
+      reread_(std::move(reread)),
       base_(net::MakeBase()),
       front_(base_.get(), net::ParseAddress(config_.listen),
              static_cast<std::size_t>(config_.sockets - kReserved),
@@ -76,6 +79,10 @@
   const auto leave = [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->Leave(); };
   sigterm_ = OnSignal(base_.get(), SIGTERM, leave, this);
   sigint_ = OnSignal(base_.get(), SIGINT, leave, this);
+  // Guards against a new configuration that ends the node: SIGHUP does, where nothing handles it.
+  sighup_ = OnSignal(
+      base_.get(), SIGHUP, [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->Reload(); },
+      this);
 }
 
 // The front tells the table of each connection that it ends, so it must end them while the table stands.
@@ -190,6 +197,22 @@
   registry_.Drain();
 }
 
+// Takes up new addresses of the worker pool and the registry. All else holds for the process's whole life.
+void Node::Reload() {
+  try {
+    const Config fresh = reread_();
+    const sockaddr_in pool = net::ParseAddress(fresh.pool), registry = net::ParseAddress(fresh.registry);
+    net::LogLine("reload pool=%s registry=%s needs_restart=%s", fresh.pool.c_str(), fresh.registry.c_str(),
+                 fresh.SameButForPeers(config_) ? "no" : "yes");
+    if (std::exchange(config_.pool, fresh.pool) != fresh.pool) pool_.Move(pool);
+    if (std::exchange(config_.registry, fresh.registry) != fresh.registry) {
+      registry_.Move(registry, fresh.registry);
+    }
+  } catch (const std::exception& fault) {
+    net::LogLine("reload-failed what=%s", fault.what());
+  }
+}
+
 void Node::DrainStep() {
   if (!listening_ || Steady::now() < kill_at_ - kCloseListener) return;
   listening_ = false;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,7 +23,8 @@
 class Node {
  public:
   // Listens and connects at once. Throws where that cannot be.
-  explicit Node(Config config);
+  // `reread` gives the configuration anew, or throws what is wrong with it.
+  Node(Config config, std::function<Config()> reread);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -43,10 +44,12 @@
   void ArmTimers();
   void Bound(bool cold);
   void Leave();
+  void Reload();
   void DrainStep();
   Millis Clock() const { return Steady::now() - began_; }
 
-  const Config config_;
+  Config config_;
+  std::function<Config()> reread_;
   net::BasePtr base_;
   Steady::time_point began_ = Steady::now();
   net::GatewayFront front_;
@@ -61,6 +64,7 @@
   bool step_due_ = false;
   net::EventPtr sigterm_;
   net::EventPtr sigint_;
+  net::EventPtr sighup_;
   bool leaving_ = false;
   bool notice_given_ = false;
   bool listening_ = true;
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -254,6 +254,41 @@
   Settle(link);
 }
 
+// New configurations: bad ones change nothing; new addresses are taken at once, with all that is open.
+void Reloads() {
+  RunningNode node;
+  peers::Listener pool, registry, second_pool, second_registry;
+  PoolLink old(node.pool, 0);
+  Settle(old);
+  Gateway gateway(node.port());
+  gateway.Write(Gateway::Request(1, kOne, "first"));
+  old.Command();
+  const std::string moved = node.Moved(pool, registry), again = node.Moved(second_pool, second_registry);
+  node.Reload("{\"pool\":");
+  // The old link still carries what comes; the answer shows that the node lives.
+  old.Finish(1, kOne, "complete", "old");
+  assert(gateway.ReadAnswer(1, 0).body == "old");
+  gateway.Write(Gateway::Request(2, kTwo, "second"));
+  assert(old.Command().starts_with("spawn " + kTwo));
+  node.Reload(moved);
+  peers::Socket reports = registry.Accept();
+  assert(reports.Line().starts_with("PUT "));
+  PoolLink fresh(pool, 1);
+  // A second one before the first link has settled.
+  node.Reload(again);
+  assert(second_registry.Accept().Line().starts_with("PUT "));
+  PoolLink link(second_pool, 1);
+  link.Bound();
+  const std::string barrier = link.Line();
+  assert(barrier.starts_with("poll "));
+  // The run went on meanwhile: its end is replayed, and it is not sent again.
+  link.Finish(2, kTwo, "complete", "moved");
+  link.AnswerPoll(barrier);
+  assert(gateway.ReadAnswer(2, 0).body == "moved");
+  gateway.Write(Gateway::Request(3, kThree, "third"));
+  assert(link.Command().starts_with("spawn " + kThree));
+}
+
 // A report that fails in whatever way is made again, and the node serves on.
 void RegistryFails() {
   RunningNode node;
@@ -291,7 +326,7 @@
       {"serves", Serves},          {"bad-requests", BadRequests}, {"framing-faults", FramingFaults},
       {"lost-link", LostLink},     {"shared-reads", SharedReads}, {"overdue-run", OverdueRun},
       {"drains", Drains},          {"at-limit", AtLimit},         {"registry-fails", RegistryFails},
-      {"slow-reader", SlowReader},
+      {"slow-reader", SlowReader}, {"reloads", Reloads},
   };
   for (const auto& [name, story] : stories) {
     if (argc != 2 || std::strcmp(argv[1], name) != 0) continue;
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -221,13 +221,28 @@
 class RunningNode {
  public:
   explicit RunningNode(int stop_ms = 600, int sockets = 1024)
-      : node_(hingelink::node::ParseConfig(Json(stop_ms, sockets))), thread_([this] { node_.Run(); }) {}
+      : config_(Json(stop_ms, sockets)),
+        node_(hingelink::node::ParseConfig(config_),
+              [this] { return hingelink::node::ParseConfig(config_); }),
+        thread_([this] { node_.Run(); }) {}
   ~RunningNode() {
     if (thread_.joinable()) Leave();
     if (thread_.joinable()) thread_.join();
   }
   void Leave() { assert(kill(getpid(), SIGTERM) == 0); }
   void Join() { thread_.join(); }
+  // Puts another configuration in place and tells the node of it. Not again before it has been read.
+  void Reload(const std::string& config) {
+    config_ = config;
+    assert(kill(getpid(), SIGHUP) == 0);
+  }
+  // The configuration with other peers.
+  std::string Moved(const Listener& to_pool, const Listener& to_registry) const {
+    std::string config = config_;
+    config.replace(config.find(pool.Address()), pool.Address().size(), to_pool.Address());
+    config.replace(config.find(registry.Address()), registry.Address().size(), to_registry.Address());
+    return config;
+  }
   std::uint16_t port() const { return node_.port(); }
 
   Listener pool, registry;
@@ -249,6 +264,7 @@
            R"(},"settings":)" + settings + "}";
   }
 
+  std::string config_;
   hingelink::node::Node node_;
   std::thread thread_;
 };
