End silent and half-sent connections in 1.5 s; idle ones make room at the limit

Cause: Accept (src/net/gateway_front.cpp) closed the new connection at the limit whoever it was, while hundreds that had never sent a byte stayed until the idle time of seconds.

- A frame that is not whole 1.5 s after its first byte, or after the accept, ends its connection: silent or unfinished.
Counted in looks of 250 ms, so that a pause of the machine is one look.
- At the limit the least useful connection with nothing open and nothing unread makes room: made-room.
- Behind a framing fault what comes is read and let go while the error is on its way; what was open is failed.
Before, the close with bytes unread reset the connection (Fault, Written).
- A peer that takes no answers is ended after 2 s instead of 30.
- A descriptor is closed with its connection, not a round of the loop later.

--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -1,5 +1,6 @@
 #include "net/gateway_front.h"
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,15 +18,20 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kMostOpen = 32;  // Requests on one connection.
-// Unread bytes held of one connection: several frames, and always more than the longest that is kept.
-constexpr std::size_t kReadAhead = 4 * proto::kMostKept;
+// Unread bytes held of one connection: always more than the longest frame that is kept.
+constexpr std::size_t kReadAhead = 2 * proto::kMostKept;
 // Unsent bytes from which a connection is not read: its gateway must take answers before it asks for more.
 constexpr std::size_t kUnsentPause = 16 * 1024;
 // Unsent bytes at which it is given up: above the pause and 32 of the longest answers. All connections that
 // the descriptors allow, each just under it, still fit into the node's memory.
 constexpr std::size_t kUnsentMost = 160 * 1024;
-// A gateway that takes nothing for so long is gone; machine pauses are much shorter.
-constexpr auto kWriteStall = 30s;
+// Slow peers are given up by looks, not by the clock: a pause of the whole machine then counts as one look.
+constexpr auto kLook = 250ms;
+constexpr int kFrameLooks = 6;    // For a whole frame, from the accept or from the frame's first byte.
+constexpr int kFaultLooks = 4;    // From a framing fault, for the peer to take the error and close.
+constexpr int kStalledLooks = 8;  // With unsent bytes of which the peer takes none.
+// Bytes read and let go behind a framing fault, so that closing does not destroy the error on its way.
+constexpr std::size_t kLetGo = 4 << 20;
 constexpr auto kListenAgain = 50ms;
 constexpr int kBacklog = 1024;
 
@@ -39,10 +45,16 @@
       return "reset";
     case EndReason::kFraming:
       return "framing";
+    case EndReason::kSilent:
+      return "silent";
+    case EndReason::kUnfinished:
+      return "unfinished";
     case EndReason::kSlowReader:
       return "slow-reader";
     case EndReason::kIdle:
       return "idle";
+    case EndReason::kMadeRoom:
+      return "made-room";
     case EndReason::kAtLimit:
       return "at-limit";
     case EndReason::kDrained:
@@ -67,18 +79,17 @@
         [](bufferevent*, void* self) { static_cast<Connection*>(self)->Written(); },
         [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->Event(what); }, this);
     bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
-    const timeval stall = ToTimeval(kWriteStall);
-    bufferevent_set_timeouts(bev_.get(), nullptr, &stall);
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   }
 
   void Deliver(std::uint32_t stream, const node::FinalAnswer& answer) {
     if (open_.erase(stream) == 0) return;
+    if (answer.verdict == node::Verdict::kServed) use_ = Use::kServed;
     Answer(stream, answer);
   }
 
   void AskForNoMore() {
-    if (!std::exchange(asked_for_no_more_, true)) Write(proto::NoNewRequests());
+    if (!std::exchange(asked_for_no_more_, true) && !ending_) Write(proto::NoNewRequests());
   }
 
   bool idle() const { return open_.empty() && Unsent(bev_.get()) == 0; }
@@ -86,18 +97,56 @@
   bool sent() const { return Unsent(bev_.get()) == 0; }
   Steady::time_point last_used() const { return last_used_; }
 
+  // Whether it would rather be ended than `other`, to make room: the least useful first, of those the one
+  // that has been quiet longest.
+  bool LessUsefulThan(const Connection& other) const {
+    return std::make_pair(use_, last_used_) < std::make_pair(other.use_, other.last_used_);
+  }
+  // Whether nothing is lost with it: nothing is open, and nothing that it sent lies unread.
+  bool Spare() const {
+    int unread = 0;
+    return idle() && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
+           ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &unread) == 0 && unread == 0;
+  }
+
+  // Why it is to be ended by now. Guards against peers that say nothing, stop in the middle of a frame, take
+  // no answers, or do not close after a fault.
+  std::optional<EndReason> Look() {
+    if (ending_) return ++fault_looks_ > kFaultLooks ? std::optional(EndReason::kFraming) : std::nullopt;
+    const std::size_t unsent = Unsent(bev_.get());
+    const std::uint64_t taken = written_ - unsent;
+    stalled_looks_ = unsent == 0 || taken != std::exchange(taken_, taken) ? 0 : stalled_looks_ + 1;
+    if (stalled_looks_ > kStalledLooks) return EndReason::kSlowReader;
+    const bool in_frame = skip_ > 0 || evbuffer_get_length(bufferevent_get_input(bev_.get())) > 0;
+    if (reading_paused_ || (use_ != Use::kNone && !in_frame)) return std::nullopt;
+    if (++frame_looks_ <= kFrameLooks) return std::nullopt;
+    return in_frame ? EndReason::kUnfinished : EndReason::kSilent;
+  }
+
   // Stops all callbacks and tells of the requests that nobody can be answered any more.
   void Close(EndReason reason) {
     bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
     bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
-    LogLine("connection-end id=%llu reason=%s requests=%llu open=%zu", static_cast<unsigned long long>(id_),
-            ReasonCode(reason), static_cast<unsigned long long>(requests_), open_.size());
+    // At once, not when the object is freed: guards the descriptors while many come and go in one round.
+    evutil_closesocket(bufferevent_getfd(bev_.get()));
+    bufferevent_setfd(bev_.get(), -1);
+    LogLine("connection-end id=%llu reason=%s requests=%llu open=%zu%s%s",
+            static_cast<unsigned long long>(id_), ReasonCode(reason),
+            static_cast<unsigned long long>(requests_), open_.size(), fault_ != nullptr ? " what=" : "",
+            fault_ != nullptr ? fault_ : "");
     for (const std::uint32_t stream : open_) front_.events_.gone({id_, stream});
     open_.clear();
   }
 
  private:
+  // What it has been good for, least first.
+  enum class Use { kNone, kFrames, kServed };
+
   void Read() {
+    if (ending_) {
+      LetGo();
+      return;
+    }
     last_used_ = Steady::now();
     const std::string_view all = Arrived(bev_.get());
     std::size_t done = 0;
@@ -115,6 +164,7 @@
       // no well-formed frame needs is let go as it comes.
       if (head->Size() > proto::kMostKept) {
         done += proto::kHeadBytes;
+        frame_looks_ = 0;
         skip_ = head->Size() - proto::kHeadBytes;
         Take(*head, {}, true);
         continue;
@@ -123,8 +173,10 @@
       const std::size_t payload = head->Size() - proto::kHeadBytes;
       Take(*head, all.substr(done + proto::kHeadBytes, payload), false);
       done += head->Size();
+      frame_looks_ = 0;
+      use_ = std::max(use_, Use::kFrames);
     }
-    Consume(bev_.get(), done);
+    Consume(bev_.get(), ending_ ? all.size() : done);
     if (given_up_) front_.End(id_, EndReason::kSlowReader);
   }
 
@@ -188,6 +240,7 @@
   void Write(std::string_view bytes) {
     last_used_ = Steady::now();
     Send(bev_.get(), bytes);
+    written_ += bytes.size();
     const std::size_t unsent = Unsent(bev_.get());
     // Guards against a gateway that asks and never reads: first it is not read, then it is let go.
     if (unsent > kUnsentMost) given_up_ = true;
@@ -199,7 +252,7 @@
 
   void Written() {
     if (ending_) {
-      front_.End(id_, EndReason::kFraming);
+      shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
       return;
     }
     if (!reading_paused_) return;
@@ -208,19 +261,32 @@
     Read();
   }
 
-  // What follows cannot be read: says so on stream 0, and closes once that is out.
+  // What follows cannot be read: what is open is failed, stream 0 tells of the error, and the connection ends
+  // once the peer closes or its time is over. Guards the error on its way: a close with bytes unread resets.
   void Fault(const char* what) {
-    LogLine("framing-fault id=%llu what=%s", static_cast<unsigned long long>(id_), what);
+    fault_ = what;
     ending_ = true;
-    bufferevent_disable(bev_.get(), EV_READ);
+    use_ = Use::kNone;
+    for (const std::uint32_t stream : std::exchange(open_, {})) {
+      Answer(stream, node::Failed());
+      front_.events_.gone({id_, stream});
+    }
     Write(proto::AnswerHead(0, proto::AnswerCode::kFailed, {}, 0));
+    bufferevent_enable(bev_.get(), EV_READ);
+  }
+
+  void LetGo() {
+    const std::size_t size = evbuffer_get_length(bufferevent_get_input(bev_.get()));
+    Consume(bev_.get(), size);
+    let_go_ += size;
+    if (let_go_ > kLetGo) front_.End(id_, EndReason::kFraming);
   }
 
   void Event(short what) {
-    if ((what & BEV_EVENT_EOF) != 0) {
+    if (ending_) {
+      front_.End(id_, EndReason::kFraming);
+    } else if ((what & BEV_EVENT_EOF) != 0) {
       front_.End(id_, EndReason::kPeerClosed);
-    } else if ((what & BEV_EVENT_TIMEOUT) != 0) {
-      front_.End(id_, EndReason::kSlowReader);
     } else if ((what & BEV_EVENT_ERROR) != 0) {
       front_.End(id_, EndReason::kReset);
     }
@@ -231,7 +297,13 @@
   BufferPtr bev_;
   std::unordered_set<std::uint32_t> open_;  // Streams that are owed an answer.
   std::size_t skip_ = 0;                    // Bytes of an overlong frame still to come.
+  std::size_t let_go_ = 0;                  // Bytes that came behind a fault.
   std::uint64_t requests_ = 0;
+  std::uint64_t written_ = 0;  // Bytes of answers in all, and how many the peer had taken at the last look.
+  std::uint64_t taken_ = 0;
+  int frame_looks_ = 0, fault_looks_ = 0, stalled_looks_ = 0;
+  Use use_ = Use::kNone;
+  const char* fault_ = nullptr;
   bool ending_ = false;
   bool reading_paused_ = false;
   bool given_up_ = false;
@@ -248,7 +320,9 @@
                     [this] {
                       if (listener_) evconnlistener_enable(listener_.get());
                     }),
-      idle_sweep_(base, [this] { SweepIdle(); }) {
+      idle_sweep_(base, [this] { SweepIdle(); }),
+      look_(base, [this] { Look(); }) {
+  look_.After(kLook);
   listener_.reset(evconnlistener_new_bind(
       base,
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
@@ -275,7 +349,7 @@
 void GatewayFront::Accept(evutil_socket_t fd) {
   const std::uint64_t id = ++last_id_;
   // Guards the descriptors that the pool link and the registry need.
-  if (connections_.size() >= most_connections_) {
+  if (connections_.size() >= most_connections_ && !MakeRoom()) {
     evutil_closesocket(fd);
     LogLine("connection-end id=%llu reason=%s requests=0 open=0", static_cast<unsigned long long>(id),
             ReasonCode(EndReason::kAtLimit));
@@ -284,6 +358,29 @@
   connections_.emplace(id, std::make_unique<Connection>(*this, id, fd));
 }
 
+// Guards against peers that take up all connections and ask nothing, so that no gateway gets one.
+bool GatewayFront::MakeRoom() {
+  const Connection* spare = nullptr;
+  std::uint64_t id = 0;
+  for (const auto& [other, connection] : connections_) {
+    if ((spare == nullptr || connection->LessUsefulThan(*spare)) && connection->Spare()) {
+      spare = connection.get();
+      id = other;
+    }
+  }
+  if (spare != nullptr) End(id, EndReason::kMadeRoom);
+  return spare != nullptr;
+}
+
+void GatewayFront::Look() {
+  std::vector<std::pair<std::uint64_t, EndReason>> over;
+  for (const auto& [id, connection] : connections_) {
+    if (const auto reason = connection->Look()) over.emplace_back(id, *reason);
+  }
+  for (const auto& [id, reason] : over) End(id, reason);
+  look_.After(kLook);
+}
+
 void GatewayFront::End(std::uint64_t id, EndReason reason) {
   const auto it = connections_.find(id);
   if (it == connections_.end()) return;
--- a/src/net/gateway_front.h
+++ b/src/net/gateway_front.h
@@ -19,7 +19,19 @@
 namespace hingelink::net {
 
 // Why a connection ended. The codes are explained in docs/on-call.md.
-enum class EndReason { kPeerClosed, kReset, kFraming, kSlowReader, kIdle, kAtLimit, kDrained, kShutdown };
+enum class EndReason {
+  kPeerClosed,
+  kReset,
+  kFraming,
+  kSilent,
+  kUnfinished,
+  kSlowReader,
+  kIdle,
+  kMadeRoom,
+  kAtLimit,
+  kDrained,
+  kShutdown
+};
 const char* ReasonCode(EndReason reason);
 
 class GatewayFront : public node::Front {
@@ -53,6 +65,8 @@
   void Accept(evutil_socket_t fd);
   void End(std::uint64_t id, EndReason reason);
   void SweepIdle();
+  void Look();
+  bool MakeRoom();
 
   event_base* base_;
   node::FrontEvents events_;
@@ -60,6 +74,7 @@
   ListenerPtr listener_;
   Timer listen_again_;
   Timer idle_sweep_;
+  Timer look_;
   std::chrono::milliseconds idle_after_{0};
   bool healthy_ = true;
   bool asked_for_no_more_ = false;
