--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -81,7 +81,8 @@
   sigint_ = OnSignal(base_.get(), SIGINT, leave, this);
   // Guards against a new configuration that ends the node: SIGHUP does, where nothing handles it.
   sighup_ = OnSignal(
-      base_.get(), SIGHUP, [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->Reload(); }, this);
+      base_.get(), SIGHUP, [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->Reload(); },
+      this);
 }
 
 // The front tells the table of each connection that it ends, so it must end them while the table stands.
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -227,7 +227,8 @@
  public:
   explicit RunningNode(int stop_ms = 600, int sockets = 1024)
       : config_(Json(stop_ms, sockets)),
-        node_(hingelink::node::ParseConfig(config_), [this] { return hingelink::node::ParseConfig(config_); }),
+        node_(hingelink::node::ParseConfig(config_),
+              [this] { return hingelink::node::ParseConfig(config_); }),
         thread_([this] { node_.Run(); }) {}
   ~RunningNode() {
     if (thread_.joinable()) Leave();
