Take no gap under 100 ms for a stall, and reopen a broken pool link at once

The link loses the commands of its last 50 ms, so nothing ends for 40 to 60 ms; SeeStall (src/logic.cpp) called 8 x 30 ms / 12 runs = 20 ms a stall, refused all that was held and sent every gateway away for a second, which drove traffic to the node that was down. Reconnecting added 10 ms (PoolLink::Lose). Ruled out: the gauges (polled each 25 ms, newest delivered), the registry (reports go on), the front.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -80,6 +80,9 @@
 // Runs that should have moved on, had the set in hand gone on as usual, before the work counts as stalled:
 // by chance that happens once in three thousand times. Few runs at once take longer to tell than many.
 constexpr double kStall = 8;
+// ms that a stall lasts at least: a link to the workers that breaks may lose the starts of its last 50 ms,
+// and the first run that is started again must end.
+constexpr double kStallLeastMs = 100;
 // Ticks before a due time at which the answer goes out, and before the kill at a drain.
 constexpr double kTicksBefore = 2, kTicksBeforeKill = 8;
 // Signal: time between settings as a share of the told time callers remember it (any quicker, it swings);
@@ -432,13 +435,14 @@
   bool TooLate(const Request& r) const { return now_ + kLeft * pace_ * r.size * mean_run_[r.cls] > r.aim; }
 
   // Guards against work that stands still while requests are read (a hung disk, a machine frozen by others):
-  // all that is held or comes is refused, for other servers, until a run moves on.
+  // all that is held or comes is refused, for other servers, until a run moves on. The floor guards against
+  // short runs on many cores, where a gap of 20 ms told of a stall: any break of the link to the workers did.
   void SeeStall() {
     if (running_ - at_call_ < s_.cores) moved_at_ = now_;
     const double usual = *std::max_element(mean_run_.begin(), mean_run_.end());
     // Not before the means are learned: the first to finish are the short runs, and a guess may lie far off.
-    const bool stalled =
-        finished_ >= 1 / kLearn && now_ - moved_at_ > kStall * usual / std::max(1, running_ - at_call_);
+    const double span = std::max(kStallLeastMs, kStall * usual / std::max(1, running_ - at_call_));
+    const bool stalled = finished_ >= 1 / kLearn && now_ - moved_at_ > span;
     if (stalled != stalled_ && !draining_) Do(SetHealth{!stalled, true});
     if (stalled && !stalled_) Do(Log{"stall: no run moves on, refusing"});
     stalled_ = stalled;
--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -13,7 +13,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kBackoffLeast = 10ms;
+constexpr auto kBackoffLeast = 10ms;  // After a try that failed; the first comes at once.
 constexpr auto kBackoffMost = 320ms;
 // A poll that is not answered for so long tells of a link that died without a word.
 constexpr auto kSilence = 5s;
@@ -69,10 +69,12 @@
   lost_ = std::move(bev_);
   // A link lost before it settled adds nothing to what is known of the spawns.
   if (settled_) answered_at_loss_ = answered_;
+  const bool was_settled = settled_;
   connected_ = bound_ = settled_ = false;
   silence_.Stop();
-  reconnect_.After(backoff_);
-  backoff_ = std::min<Steady::duration>(2 * backoff_, kBackoffMost);
+  // Guards against cores that idle while a pool that broke the link takes the next at once.
+  reconnect_.After(was_settled ? Steady::duration(0) : backoff_);
+  if (!was_settled) backoff_ = std::min<Steady::duration>(2 * backoff_, kBackoffMost);
 }
 
 // Guards against commands that die with the old address: it takes nothing new, and closes a little later. Not
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -579,6 +579,25 @@
   EXPECT_EQ(h.refusals[1], 0);
 }
 
+// Where runs are short, a link to the workers that breaks stops them for many times their length: no stall.
+TEST(StartPath, ABrokenLinkUnderShortRunsIsNoStall) {
+  Settings s = Site();
+  s.classes.resize(1);
+  Host h(s);
+  h.runnable = 4;
+  for (RequestId id = 10; id < 60; ++id) {
+    h.Arrive(id);
+    h.Finish(id, Outcome::kOk, 5);
+  }
+  h.Fill();
+  h.PassTo(h.now + 90);
+  EXPECT_TRUE(h.healthy);
+  h.Arrive(1);
+  EXPECT_EQ(h.refusals[1], 0);
+  h.PassTo(h.now + 60);
+  EXPECT_FALSE(h.healthy);
+}
+
 // The first to finish are the short ones: called by them, a third of a full fleet stalled in ten seconds.
 TEST(StartPath, FirstShortRunsAreNoMeasureOfAStall) {
   Host h;
