Bound the log under floods; keep requests taken back at once from the module

- 1,155 bad clients left 1,700 lines in 25 s on one node, and each unknown id a line of its own.
Lines that peers cause now come from a stock of 1,000 that grows by 100 a second; those left out are counted.
- A request that is taken back before the module was told of it is never told of: RequestTable::TakeEvents made the module refuse held requests of lesser worth for sixteen that nobody waited for (story 'taken-back').

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -214,7 +214,9 @@
 
     r.kb = a.held_kb;
     r.arrival = now_ - a.unread_ms;
-    r.due = a.budget_ms > 0 ? now_ + a.budget_ms : std::max(now_, r.arrival + c.deadline_ms);
+    // A told wait past the class's own is not believed. Guards against held entries that pile up for a day.
+    r.due = a.budget_ms > 0 ? now_ + std::min(a.budget_ms, c.deadline_ms)
+                            : std::max(now_, r.arrival + c.deadline_ms);
     if (draining_) r.due = std::min(r.due, kill_at_);
     const double age = a.budget_ms > 0 ? Age((a.budget_ms + a.unread_ms) / c.deadline_ms) * c.deadline_ms : 0;
     r.retry = a.is_retry || age > kOld * c.deadline_ms;
--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -130,10 +130,10 @@
     // At once, not when the object is freed: guards the descriptors while many come and go in one round.
     evutil_closesocket(bufferevent_getfd(bev_.get()));
     bufferevent_setfd(bev_.get(), -1);
-    LogLine("connection-end id=%llu reason=%s requests=%llu open=%zu%s%s",
-            static_cast<unsigned long long>(id_), ReasonCode(reason),
-            static_cast<unsigned long long>(requests_), open_.size(), fault_ != nullptr ? " what=" : "",
-            fault_ != nullptr ? fault_ : "");
+    LogPeerLine("connection-end id=%llu reason=%s requests=%llu open=%zu%s%s",
+                static_cast<unsigned long long>(id_), ReasonCode(reason),
+                static_cast<unsigned long long>(requests_), open_.size(), fault_ != nullptr ? " what=" : "",
+                fault_ != nullptr ? fault_ : "");
     for (const std::uint32_t stream : open_) front_.events_.gone({id_, stream});
     open_.clear();
   }
@@ -351,8 +351,8 @@
   // Guards the descriptors that the pool link and the registry need.
   if (connections_.size() >= most_connections_ && !MakeRoom()) {
     evutil_closesocket(fd);
-    LogLine("connection-end id=%llu reason=%s requests=0 open=0", static_cast<unsigned long long>(id),
-            ReasonCode(EndReason::kAtLimit));
+    LogPeerLine("connection-end id=%llu reason=%s requests=0 open=0", static_cast<unsigned long long>(id),
+                ReasonCode(EndReason::kAtLimit));
     return;
   }
   connections_.emplace(id, std::make_unique<Connection>(*this, id, fd));
--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -126,7 +126,7 @@
     silence_.Stop();
     settled_ = settled_ || (bound_ && tag >= barrier_);
   } else if (const auto* unknown = std::get_if<proto::CommandUnknown>(&message)) {
-    LogLine("pool-unknown req=%s", proto::ReqText(unknown->req).c_str());
+    LogPeerLine("pool-unknown req=%s", proto::ReqText(unknown->req).c_str());
     if (unknown->command == "spawn") events_.spawn_unknown(unknown->req);
   } else if (const auto* chatter = std::get_if<proto::PoolChatter>(&message)) {
     IsNew(chatter->number);
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -63,18 +63,22 @@
 
 std::vector<hingelink::Event> RequestTable::TakeEvents(UnixTime now) {
   auto clocked = arrivals_.begin();
-  for (hingelink::Event& event : events_) {
+  std::erase_if(events_, [&](hingelink::Event& event) {
     auto* arrival = std::get_if<hingelink::Arrival>(&event);
-    if (arrival == nullptr) continue;
+    if (arrival == nullptr) return false;
+    const Clocked& times = *clocked++;
+    const auto it = entries_.find(arrival->id);
+    if (it == entries_.end()) return true;  // Taken back.
+    it->second.told = true;
     // A stamp from the future counts as now.
-    const UnixTime arrived = std::min(now, clocked->arrived);
-    const Millis wait = clocked->due - clocked->arrived;
+    const UnixTime arrived = std::min(now, times.arrived);
+    const Millis wait = times.due - times.arrived;
     arrival->unread_ms = Millis(now - arrived).count();
     if (settings_.tells_deadline) {
       arrival->budget_ms = std::max(kLeastBudget, wait - Millis(now - arrived)).count();
     }
-    ++clocked;
-  }
+    return false;
+  });
   arrivals_.clear();
   return std::exchange(events_, {});
 }
@@ -85,7 +89,9 @@
   const auto it = entries_.find(waiting->second);
   waiting_.erase(waiting);
   it->second.waiting = false;
-  events_.emplace_back(hingelink::CallerGone{it->first});
+  // Where the module has not seen it yet, it never does. Guards against requests taken back as soon as they
+  // are sent, by the hundred: room would be made for them at the cost of requests that somebody waits for.
+  if (it->second.told) events_.emplace_back(hingelink::CallerGone{it->first});
   if (!it->second.running) Leave(it);
 }
 
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -72,6 +72,7 @@
     std::uint64_t req = 0;
     std::size_t cls = 0;
     std::string body;     // Held until the run is over: a lost link may have swallowed the spawn.
+    bool told = false;    // To the module.
     bool waiting = true;  // An answer is owed.
     bool running = false;
     int spawns = 0;
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -3,6 +3,7 @@
 #include <cstring>
 #include <random>
 
+#include "net/log.h"
 #include "proto/pool_lines.h"
 #include "scripted_peers.h"
 
@@ -340,6 +341,40 @@
   assert(link.Command().starts_with("spawn " + kThree));
 }
 
+// Requests that are taken back in the piece that brings them take nobody's place in the hold.
+void TakenBack() {
+  RunningNode node;
+  PoolLink link(node.pool, 0);
+  Settle(link);
+  Gateway gateway(node.port()), bad(node.port());
+  gateway.Write(Gateway::Request(1, kOne, "x"));
+  link.Command();
+  gateway.Write(Gateway::Request(2, kTwo, "held", {{"kind", "usage-view"}, {"subject", kTwo}}));
+  gateway.Write(Gateway::Encode(6, 1, std::string(1, '\0')));
+  assert(gateway.Read().type == 7);
+  std::string sent, taken_back;
+  for (std::uint32_t s = 1; s <= 16; ++s) {  // All in one piece.
+    sent += Gateway::Request(s, hingelink::proto::ReqText(s), "x");
+    taken_back += Gateway::Encode(2, s, "");
+  }
+  bad.Write(sent + taken_back + Gateway::Encode(6, 17, std::string(1, '\0')));
+  assert(bad.Read().type == 7);
+  link.Finish(1, kOne, "complete", "y");
+  assert(gateway.ReadAnswer(1, 0).body == "y");
+  assert(link.Command() == "spawn " + kTwo + " usage-view 4");
+}
+
+// Lines that peers cause are bounded, and those left out are counted.
+void LogIsBounded() {
+  using hingelink::net::LogBudget;
+  LogBudget budget;
+  const LogBudget::Time start{std::chrono::hours(1)};
+  int written = 0;
+  for (int i = 0; i < 5000; ++i) written += budget.Take(start) ? 1 : 0;
+  assert(written == LogBudget::kBurst && budget.TakeLeftOut() == 5000 - written);
+  assert(budget.Take(start + std::chrono::seconds(1)) && budget.TakeLeftOut() == 0);
+}
+
 // A report that fails in whatever way is made again, and the node serves on.
 void RegistryFails() {
   RunningNode node;
@@ -387,6 +422,8 @@
       {"reloads", Reloads},
       {"unfinished", Unfinished},
       {"fault-is-heard", FaultIsHeard},
+      {"taken-back", TakenBack},
+      {"log-is-bounded", LogIsBounded},
   };
   for (const auto& [name, story] : stories) {
     if (argc != 2 || std::strcmp(argv[1], name) != 0) continue;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -579,6 +579,21 @@
   EXPECT_EQ(h.refusals[1], 0);
 }
 
+// A wait told as a day does not keep a request in the hold past its class's deadline.
+TEST(StartPath, AWildWaitIsCutToTheDeadline) {
+  Settings s = Site();
+  s.tells_deadline = true;
+  Host h(s);
+  h.runnable = 4;
+  h.Fill();
+  Arrival wild = h.Come(1);
+  wild.budget_ms = 86'400'000;
+  h.Play({wild});
+  EXPECT_EQ(h.refusals[1], 0);
+  h.PassTo(h.now + 4000);
+  EXPECT_EQ(h.refusals[1], 1);
+}
+
 // Where runs are short, a link to the workers that breaks stops them for many times their length: no stall.
 TEST(StartPath, ABrokenLinkUnderShortRunsIsNoStall) {
   Settings s = Site();
