Do not believe gauges older than 100 ms

Seen in the source and by a story: while a pool answers no poll, PoolLink::gauges() gave the last report with each timer; one of idle cores let the module's limit climb at every look (Look, src/logic.cpp), so runs were started up to the fall multiple on a pool that hangs (story 'old-gauges': seven of seven started, now three to five). Without gauges the module goes by its own count of runs, which it always could. Ruled out: the age in ordinary service, 4 ms by the lead at which they are asked for.

--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -17,6 +17,8 @@
 constexpr auto kBackoffMost = 320ms;
 // A poll that is not answered for so long tells of a link that died without a word.
 constexpr auto kSilence = 5s;
+// Gauges older than this tell nothing of the pool's load: four of the module's looks.
+constexpr auto kGaugesGood = 100ms;
 constexpr std::size_t kReadAhead = 4 * (proto::kMostLine + proto::kMostResult);
 
 }  // namespace
@@ -123,6 +125,7 @@
     if (tag <= answered_ || tag > polls_) return true;
     answered_ = tag;
     gauges_ = polled->gauges;
+    polled_at_ = Steady::now();
     silence_.Stop();
     settled_ = settled_ || (bound_ && tag >= barrier_);
   } else if (const auto* unknown = std::get_if<proto::CommandUnknown>(&message)) {
@@ -134,6 +137,13 @@
   return true;
 }
 
+// Guards against more and more starts on the word of the last report, while a pool that hangs gives no other:
+// the module takes its own count of runs where it has no gauges.
+const std::vector<double>& PoolLink::gauges() const {
+  static const std::vector<double> none;
+  return Steady::now() - polled_at_ < kGaugesGood ? gauges_ : none;
+}
+
 // Guards against acting twice on a notice that a new link brings again.
 bool PoolLink::IsNew(std::uint64_t number) {
   if (number <= last_notice_) return false;
--- a/src/net/pool_link.h
+++ b/src/net/pool_link.h
@@ -37,7 +37,8 @@
   // In `settled`: whether the pool is known to have read the spawn before the link was lost.
   bool Processed(Mark mark) const { return mark < answered_at_loss_; }
 
-  const std::vector<double>& gauges() const { return gauges_; }
+  // The newest gauges, or none where they are old.
+  const std::vector<double>& gauges() const;
 
  private:
   void Connect();
@@ -64,6 +65,7 @@
   std::uint64_t barrier_ = 0;   // The tag asked right after `bound`.
   std::uint64_t answered_at_loss_ = 0;
   std::vector<double> gauges_;
+  Steady::time_point polled_at_{};
 };
 
 }  // namespace hingelink::net
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -375,6 +375,26 @@
   assert(budget.Take(start + std::chrono::seconds(1)) && budget.TakeLeftOut() == 0);
 }
 
+// A pool that hangs: the node does not go on starting runs on the word of its last report of idle cores.
+void OldGauges() {
+  RunningNode node;
+  PoolLink link(node.pool, 0);
+  Settle(link);
+  Gateway gateway(node.port());
+  const auto ask = [&gateway](std::uint32_t stream) {
+    gateway.Write(Gateway::Request(stream, hingelink::proto::ReqText(stream), "x",
+                                   {{"kind", "usage-view"}, {"timeout", "1200"}, {"need", "0.1"}}));
+  };
+  for (std::uint32_t s = 1; s <= 3; ++s) {
+    ask(s);
+    link.Command();  // Answers polls meanwhile: the cores are idle, so a second and a third may run.
+  }
+  for (std::uint32_t s = 4; s <= 7; ++s) ask(s);
+  int never_ran = 0;
+  for (int answers = 0; answers < 7; ++answers) never_ran += gateway.Read().code == 1 ? 1 : 0;
+  assert(never_ran >= 2);
+}
+
 // A report that fails in whatever way is made again, and the node serves on.
 void RegistryFails() {
   RunningNode node;
@@ -424,6 +444,7 @@
       {"fault-is-heard", FaultIsHeard},
       {"taken-back", TakenBack},
       {"log-is-bounded", LogIsBounded},
+      {"old-gauges", OldGauges},
   };
   for (const auto& [name, story] : stories) {
     if (argc != 2 || std::strcmp(argv[1], name) != 0) continue;
