Pass over remarks of the worker pool that are longer than a kept line

Seen in the source: ParsePoolMessage called any line of 64 KiB a bad one; the link was lost, and as the remark's number was never taken in, it came again on each new link (story 'long-remark': the request failed).

--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -72,7 +72,7 @@
   // A link lost before it settled adds nothing to what is known of the spawns.
   if (settled_) answered_at_loss_ = answered_;
   const bool was_settled = settled_;
-  connected_ = bound_ = settled_ = false;
+  connected_ = bound_ = settled_ = in_remark_ = false;
   silence_.Stop();
   // Guards against cores that idle while a pool that broke the link takes the next at once.
   reconnect_.After(was_settled ? Steady::duration(0) : backoff_);
@@ -94,6 +94,14 @@
   const std::string_view all = Arrived(bev_.get());
   std::size_t done = 0;
   while (bev_ && done < all.size()) {
+    // Guards against a remark that is longer than what is kept of a line: it came again on each new link.
+    if (in_remark_) {
+      const std::size_t end = all.find("\r\n", done);
+      in_remark_ = end == std::string_view::npos;
+      done = in_remark_ ? all.size() - 1 : end + 2;
+      if (in_remark_) break;
+      continue;
+    }
     std::size_t size = 0;
     const proto::PoolMessage message = proto::ParsePoolMessage(all.substr(done), size);
     if (std::holds_alternative<proto::NeedMore>(message)) break;
@@ -133,6 +141,7 @@
     if (unknown->command == "spawn") events_.spawn_unknown(unknown->req);
   } else if (const auto* chatter = std::get_if<proto::PoolChatter>(&message)) {
     IsNew(chatter->number);
+    in_remark_ = chatter->goes_on;
   }
   return true;
 }
--- a/src/net/pool_link.h
+++ b/src/net/pool_link.h
@@ -59,6 +59,7 @@
   bool connected_ = false;
   bool bound_ = false;    // On this link.
   bool settled_ = false;  // On this link.
+  bool in_remark_ = false;
   std::uint64_t last_notice_ = 0;
   std::uint64_t polls_ = 0;     // Asked so far; also the tag of the last.
   std::uint64_t answered_ = 0;  // The last tag that was answered.
--- a/src/proto/pool_lines.cpp
+++ b/src/proto/pool_lines.cpp
@@ -70,8 +70,13 @@
 PoolMessage ParsePoolMessage(std::string_view bytes, std::size_t& size) {
   const std::size_t eol = bytes.substr(0, kMostLine).find("\r\n");
   if (eol == std::string_view::npos) {
-    if (bytes.size() >= kMostLine) return BadLine{"line too long"};
-    return NeedMore{};
+    if (bytes.size() < kMostLine) return NeedMore{};
+    size = kMostLine - 1;  // The last byte may be a CR.
+    Words start(bytes.substr(0, size));
+    const bool chatter = start.Next() == "chatter";
+    if (const auto number = start.Number<std::uint64_t>(); chatter && number)
+      return PoolChatter{*number, true};
+    return BadLine{"line too long"};
   }
   size = eol + 2;
   Words words(bytes.substr(0, eol));
--- a/src/proto/pool_lines.h
+++ b/src/proto/pool_lines.h
@@ -12,7 +12,7 @@
 
 namespace hingelink::proto {
 
-inline constexpr std::size_t kMostLine = 65'536;    // Remarks are as long as the pool likes.
+inline constexpr std::size_t kMostLine = 65'536;    // But for remarks, which are as long as the pool likes.
 inline constexpr std::size_t kMostResult = 65'536;  // The protocol allows 4 KiB.
 
 enum class RunEnd { kComplete, kError, kCancelled, kUnknown };
@@ -38,6 +38,7 @@
 };
 struct PoolChatter {
   std::uint64_t number = 0;
+  bool goes_on = false;  // Only its start has come: what follows up to the next CR LF belongs to it.
 };
 struct NeedMore {};
 struct BadLine {
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -375,6 +375,21 @@
   assert(budget.Take(start + std::chrono::seconds(1)) && budget.TakeLeftOut() == 0);
 }
 
+// A remark longer than any line that is kept is passed over, whole or in pieces.
+void LongRemark() {
+  RunningNode node;
+  PoolLink link(node.pool, 0);
+  Settle(link);
+  Gateway gateway(node.port());
+  gateway.Write(Gateway::Request(1, kOne, "x"));
+  link.Command();
+  link.Write("chatter 1 " + std::string(300'000, 'x') + "\r\nchatter 2 " + std::string(65'525, 'y') + "\r\n");
+  link.Finish(3, kOne, "complete", "y");
+  assert(gateway.ReadAnswer(1, 0).body == "y");
+  gateway.Write(Gateway::Request(2, kTwo, "x"));
+  assert(link.Command().starts_with("spawn " + kTwo));  // On the same link.
+}
+
 // A pool that hangs: the node does not go on starting runs on the word of its last report of idle cores.
 void OldGauges() {
   RunningNode node;
@@ -445,6 +460,7 @@
       {"taken-back", TakenBack},
       {"log-is-bounded", LogIsBounded},
       {"old-gauges", OldGauges},
+      {"long-remark", LongRemark},
   };
   for (const auto& [name, story] : stories) {
     if (argc != 2 || std::strcmp(argv[1], name) != 0) continue;
