End a connection after 64 requests that could not be read

Seen in the source: TakeRequest (src/net/gateway_front.cpp) refused each such request and read on, so one peer could take the node's part of a core for ever. Now the 64th ends the connection as a framing fault, what=malformed (story 'bad-requests').

--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -18,6 +18,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kMostOpen = 32;  // Requests on one connection.
+// Requests that could not be read, on one connection, after which it is ended.
+constexpr int kMostMalformed = 64;
 // Unread bytes held of one connection: always more than the longest frame that is kept.
 constexpr std::size_t kReadAhead = 2 * proto::kMostKept;
 // Unsent bytes from which a connection is not read: its gateway must take answers before it asks for more.
@@ -208,6 +210,8 @@
     if (fault != nullptr) {
       // It never ran, and no other node would read it otherwise.
       Answer(stream, node::Refused(true));
+      // Guards against a peer that sends such requests without end, and takes the core with them.
+      if (++malformed_ >= kMostMalformed) Fault("malformed");
       return;
     }
     if (open_.size() >= kMostOpen) {
@@ -301,6 +305,7 @@
   std::uint64_t requests_ = 0;
   std::uint64_t written_ = 0;  // Bytes of answers in all, and how many the peer had taken at the last look.
   std::uint64_t taken_ = 0;
+  int malformed_ = 0;
   int frame_looks_ = 0, fault_looks_ = 0, stalled_looks_ = 0;
   Use use_ = Use::kNone;
   const char* fault_ = nullptr;
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -69,6 +69,14 @@
   gateway.ReadAnswer(stream, 1);
   gateway.Write(Gateway::Request(++stream, kOne, "good"));
   link.Command();
+  // Who sends nothing else is ended.
+  Gateway bad(node.port());
+  for (std::uint32_t s = 1; s <= 64; ++s) {
+    bad.Write(Gateway::Request(s, "xyz", ""));
+    bad.ReadAnswer(s, 1);
+  }
+  bad.ReadAnswer(0, 2);
+  assert(bad.socket().Finished());
   // A second try of one id is failed, not refused, while the first runs and after; it never runs.
   gateway.Write(Gateway::Request(50, kOne, "again"));
   gateway.ReadAnswer(50, 2);
