Answer operators on a second address: readiness and figures

Counting stands in GatewayFront::Connection::Answer and RequestTable::SendSpawn. Ruled out: libevent's listener for this address, as its event takes no priority. Stories: operators, figures.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 // The command line of the portal node.
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <string>
 
@@ -29,7 +30,11 @@
       const hingelink::node::Config read = hingelink::node::ReadConfig(config);
       std::printf("%s: good, %zu classes\n", config.c_str(), read.settings.classes.size());
     } else if (*serve) {
-      const auto read = [&config] { return hingelink::node::ReadConfig(config); };
+      const auto read = [&config] {
+        hingelink::node::Config fresh = hingelink::node::ReadConfig(config);
+        if (const char* ops = std::getenv("NODE_OPS"); fresh.ops.empty() && ops != nullptr) fresh.ops = ops;
+        return fresh;
+      };
       hingelink::node::Node(read(), read).Run();
     }
     return 0;
--- a/src/net/event.cpp
+++ b/src/net/event.cpp
@@ -19,6 +19,9 @@
   event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
   BasePtr base(event_base_new_with_config(config.get()));
   if (!base) throw std::runtime_error("libevent: no event base");
+  // New events take the middle one, which is the ordinary one.
+  if (event_base_priority_init(base.get(), kPriorities) != 0)
+    throw std::runtime_error("libevent: no priorities");
   return base;
 }
 
@@ -63,6 +66,13 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+std::uint16_t LocalPort(evutil_socket_t fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
 std::string_view Arrived(bufferevent* bev) {
   evbuffer* in = bufferevent_get_input(bev);
   const std::size_t size = evbuffer_get_length(in);
--- a/src/net/event.h
+++ b/src/net/event.h
@@ -14,11 +14,15 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hingelink::net {
 
 using Steady = std::chrono::steady_clock;
 
+// Event priorities: what is ready at the first is served before anything at the second.
+inline constexpr int kUrgent = 0, kOrdinary = 1, kPriorities = 2;
+
 struct Free {
   void operator()(event_base* base) const { event_base_free(base); }
   void operator()(event* e) const { event_free(e); }
@@ -30,6 +34,25 @@
 using BufferPtr = std::unique_ptr<bufferevent, Free>;
 using ListenerPtr = std::unique_ptr<evconnlistener, Free>;
 
+// A descriptor of its own.
+class Descriptor {
+ public:
+  explicit Descriptor(evutil_socket_t fd = -1) : fd_(fd) {}
+  Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Descriptor& operator=(Descriptor&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Descriptor() {
+    if (fd_ >= 0) evutil_closesocket(fd_);
+  }
+  evutil_socket_t get() const { return fd_; }
+  evutil_socket_t release() { return std::exchange(fd_, -1); }
+
+ private:
+  evutil_socket_t fd_;
+};
+
 // A base without libevent's cached time, which grows stale while one round of callbacks runs. Throws
 // std::runtime_error.
 BasePtr MakeBase();
@@ -52,6 +75,7 @@
 sockaddr_in ParseAddress(const std::string& text);
 
 void SetNoDelay(evutil_socket_t fd);
+std::uint16_t LocalPort(evutil_socket_t fd);
 
 // What has arrived, as one piece.
 std::string_view Arrived(bufferevent* bev);
--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -85,9 +85,10 @@
   }
 
   void Deliver(std::uint32_t stream, const node::FinalAnswer& answer) {
-    if (open_.erase(stream) == 0) return;
+    const auto open = open_.extract(stream);
+    if (open.empty()) return;
     if (answer.verdict == node::Verdict::kServed) use_ = Use::kServed;
-    Answer(stream, answer);
+    Answer(stream, open.mapped().get(), answer);
   }
 
   void AskForNoMore() {
@@ -136,7 +137,7 @@
                 static_cast<unsigned long long>(id_), ReasonCode(reason),
                 static_cast<unsigned long long>(requests_), open_.size(), fault_ != nullptr ? " what=" : "",
                 fault_ != nullptr ? fault_ : "");
-    for (const std::uint32_t stream : open_) front_.events_.gone({id_, stream});
+    for (const auto& [stream, counts] : open_) front_.events_.gone({id_, stream});
     open_.clear();
   }
 
@@ -207,18 +208,19 @@
     ++requests_;
     proto::RequestFrame frame;
     const char* fault = too_long ? "too long" : proto::ParseRequest(payload, frame);
+    const node::ClassCountsPtr counts = front_.events_.counts(frame.kind);
     if (fault != nullptr) {
       // It never ran, and no other node would read it otherwise.
-      Answer(stream, node::Refused(true));
+      Answer(stream, counts.get(), node::Refused(true));
       // Guards against a peer that sends such requests without end, and takes the core with them.
       if (++malformed_ >= kMostMalformed) Fault("malformed");
       return;
     }
     if (open_.size() >= kMostOpen) {
-      Answer(stream, node::Refused());
+      Answer(stream, counts.get(), node::Refused());
       return;
     }
-    open_.insert(stream);
+    open_.emplace(stream, counts);
     front_.events_.request({.reply_to = {id_, stream},
                             .kind = frame.kind,
                             .req = frame.req,
@@ -232,7 +234,9 @@
                             .body = frame.body});
   }
 
-  void Answer(std::uint32_t stream, const node::FinalAnswer& answer) {
+  // Every final answer passes here, also those to requests that the node never took.
+  void Answer(std::uint32_t stream, node::ClassCounts* counts, const node::FinalAnswer& answer) {
+    if (counts != nullptr) counts->Count(answer.verdict);
     proto::AnswerCode code = proto::AnswerCode::kFailed;
     if (answer.verdict == node::Verdict::kServed) code = proto::AnswerCode::kServed;
     if (answer.verdict == node::Verdict::kRefused) code = proto::AnswerCode::kRefused;
@@ -271,8 +275,8 @@
     fault_ = what;
     ending_ = true;
     use_ = Use::kNone;
-    for (const std::uint32_t stream : std::exchange(open_, {})) {
-      Answer(stream, node::Failed());
+    for (const auto& [stream, counts] : std::exchange(open_, {})) {
+      Answer(stream, counts.get(), node::Failed());
       front_.events_.gone({id_, stream});
     }
     Write(proto::AnswerHead(0, proto::AnswerCode::kFailed, {}, 0));
@@ -299,9 +303,9 @@
   GatewayFront& front_;
   std::uint64_t id_;
   BufferPtr bev_;
-  std::unordered_set<std::uint32_t> open_;  // Streams that are owed an answer.
-  std::size_t skip_ = 0;                    // Bytes of an overlong frame still to come.
-  std::size_t let_go_ = 0;                  // Bytes that came behind a fault.
+  std::unordered_map<std::uint32_t, node::ClassCountsPtr> open_;  // Streams that are owed an answer.
+  std::size_t skip_ = 0;                                          // Bytes of an overlong frame still to come.
+  std::size_t let_go_ = 0;                                        // Bytes that came behind a fault.
   std::uint64_t requests_ = 0;
   std::uint64_t written_ = 0;  // Bytes of answers in all, and how many the peer had taken at the last look.
   std::uint64_t taken_ = 0;
@@ -443,11 +447,6 @@
                      [](const auto& entry) { return entry.second->sent(); });
 }
 
-std::uint16_t GatewayFront::port() const {
-  sockaddr_in address{};
-  socklen_t size = sizeof address;
-  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&address), &size);
-  return ntohs(address.sin_port);
-}
+std::uint16_t GatewayFront::port() const { return LocalPort(evconnlistener_get_fd(listener_.get())); }
 
 }  // namespace hingelink::net
--- a/src/net/gateway_front.h
+++ b/src/net/gateway_front.h
@@ -9,7 +9,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "net/event.h"
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -63,6 +63,7 @@
   config.listen = Get<std::string>(json, "listen");
   config.pool = Get<std::string>(json, "pool");
   config.registry = Get<std::string>(json, "registry");
+  if (json.contains("ops")) config.ops = Get<std::string>(json, "ops");
   const std::string seed = Get<std::string>(json, "seed");
   const auto [end, fault] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (fault != std::errc() || end != seed.data() + seed.size()) {
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -21,6 +21,7 @@
   std::string listen;
   std::string pool;
   std::string registry;
+  std::string ops;  // Where operators ask; empty where nowhere.
   std::uint64_t seed = 0;
   std::chrono::milliseconds stop{0};  // From the notice to leave to the kill.
   int sockets = 0;                    // Descriptors that the process may hold.
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -6,7 +6,9 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace hingelink::node {
@@ -49,6 +51,17 @@
   std::string_view result;
 };
 
+// The final answers given to requests of one class. Shared: a request open at a front keeps its class's.
+struct ClassCounts {
+  std::string name;
+  std::uint64_t served = 0, refused = 0, failed = 0;
+
+  void Count(Verdict verdict) {
+    ++(verdict == Verdict::kServed ? served : verdict == Verdict::kRefused ? refused : failed);
+  }
+};
+using ClassCountsPtr = std::shared_ptr<ClassCounts>;
+
 inline FinalAnswer Served(std::string_view result) {
   FinalAnswer answer;
   answer.verdict = Verdict::kServed;
@@ -78,6 +91,8 @@
 struct FrontEvents {
   std::function<void(const IncomingRequest&)> request;
   std::function<void(ReplyTo)> gone;  // Nobody waits for this answer any more.
+  // The counts of a class by its name, or null. The front counts each answer there as it writes it.
+  std::function<ClassCountsPtr(std::string_view kind)> counts;
 };
 
 }  // namespace hingelink::node
--- /dev/null
+++ b/src/node/metrics.cpp
@@ -0,0 +1,72 @@
+#include "node/metrics.h"
+
+#include <algorithm>
+
+namespace hingelink::node {
+namespace {
+
+// Dropped classes whose counts are still shown. Guards against a table that grows with every retune.
+constexpr std::size_t kMostDropped = 64;
+
+// A label's value, as the text format wants it.
+std::string Escaped(std::string_view text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '\\' || c == '"') out += '\\';
+    out += c == '\n' ? std::string("\\n") : std::string(1, c);
+  }
+  return out;
+}
+
+}  // namespace
+
+void Metrics::SetClasses(const std::vector<hingelink::RequestClass>& classes) {
+  current_.clear();
+  for (const hingelink::RequestClass& c : classes) {
+    auto known =
+        std::find_if(shown_.begin(), shown_.end(), [&c](const auto& s) { return s->name == c.name; });
+    if (known == shown_.end()) {
+      shown_.push_back(std::make_shared<ClassCounts>(ClassCounts{.name = c.name}));
+      known = shown_.end() - 1;
+    }
+    current_.emplace((*known)->name, *known);
+  }
+  for (auto it = shown_.begin(); it != shown_.end() && shown_.size() > current_.size() + kMostDropped;) {
+    it = current_.count((*it)->name) != 0 ? it + 1 : shown_.erase(it);
+  }
+}
+
+ClassCountsPtr Metrics::Of(std::string_view kind) const {
+  const auto it = current_.find(kind);
+  return it == current_.end() ? nullptr : it->second;
+}
+
+std::string Metrics::Text(std::size_t in_flight) const {
+  std::string out;
+  const auto head = [&out](const char* name, const char* type, const char* help) {
+    out.append("# HELP edge_node_").append(name).append(" ").append(help);
+    out.append("\n# TYPE edge_node_").append(name).append(" ").append(type).append("\n");
+  };
+  const auto plain = [&](const char* name, const char* type, const char* help, std::uint64_t value) {
+    head(name, type, help);
+    out.append("edge_node_").append(name).append(" ").append(std::to_string(value)).append("\n");
+  };
+  head("calls", "counter", "Requests answered, by class and outcome.");
+  for (const auto& c : shown_) {
+    const std::string tier = Escaped(c->name);
+    const auto line = [&](const char* code, std::uint64_t value) {
+      out.append("edge_node_calls{tier=\"").append(tier).append("\",code=\"").append(code).append("\"} ");
+      out.append(std::to_string(value)).append("\n");
+    };
+    line("success", c->served);
+    line("busy", c->refused);
+    line("failure", c->failed);
+  }
+  plain("backend_calls", "counter", "Runs handed to the worker pool.", runs_);
+  plain("inflight", "gauge", "Requests taken and not ended.", in_flight);
+  plain("reconfig_ok", "counter", "Configuration files taken at SIGHUP.", reloads_ok_);
+  plain("reconfig_failed", "counter", "Configuration files turned down at SIGHUP.", reloads_failed_);
+  return out;
+}
+
+}  // namespace hingelink::node
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,41 @@
+// What the node counts since its start, for the operators. Each figure is counted at one place.
+#ifndef HINGELINK_NODE_METRICS_H_
+#define HINGELINK_NODE_METRICS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "hingelink/server_policy.h"
+#include "node/front.h"
+
+namespace hingelink::node {
+
+class Metrics {
+ public:
+  explicit Metrics(const std::vector<hingelink::RequestClass>& classes) { SetClasses(classes); }
+
+  // The classes from now on, each with a figure from 0 on. What was counted of others stays.
+  void SetClasses(const std::vector<hingelink::RequestClass>& classes);
+  // The counts of a class, or null for a name that is none.
+  ClassCountsPtr Of(std::string_view kind) const;
+  void CountRun() { ++runs_; }
+  void CountReload(bool good) { ++(good ? reloads_ok_ : reloads_failed_); }
+
+  // All figures in the Prometheus text format.
+  std::string Text(std::size_t in_flight) const;
+
+ private:
+  std::unordered_map<std::string_view, ClassCountsPtr> current_;  // The names lie in the counts.
+  std::deque<ClassCountsPtr> shown_;                              // Dropped classes too, oldest first.
+  std::uint64_t runs_ = 0, reloads_ok_ = 0, reloads_failed_ = 0;
+};
+
+}  // namespace hingelink::node
+
+#endif  // HINGELINK_NODE_METRICS_H_
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,11 +53,13 @@
     : config_(std::move(config)),
       reread_(std::move(reread)),
       base_(net::MakeBase()),
+      metrics_(config_.settings.classes),
       front_(base_.get(), net::ParseAddress(config_.listen),
              static_cast<std::size_t>(config_.sockets - kReserved),
              {.request = [this](const IncomingRequest& request) { Take(request); },
-              .gone = [this](ReplyTo from) { table_.CallerGone(from); }}),
-      table_(config_.settings, front_,
+              .gone = [this](ReplyTo from) { table_.CallerGone(from); },
+              .counts = [this](std::string_view kind) { return metrics_.Of(kind); }}),
+      table_(config_.settings, front_, metrics_,
              [this](std::uint64_t req, std::string_view kind, std::string_view body) {
                return pool_.Spawn(req, kind, body);
              }),
@@ -76,6 +78,11 @@
       gauge_timer_(base_.get(), [this] { pool_.Poll(); }),
       drain_timer_(base_.get(), [] {}) {
   std::signal(SIGPIPE, SIG_IGN);
+  if (!config_.ops.empty()) {
+    ops_.emplace(base_.get(), net::ParseAddress(config_.ops),
+                 net::OpsServer::Answers{.ready = [this] { return Ready(); },
+                                         .stats = [this] { return metrics_.Text(table_.unanswered()); }});
+  }
   const auto leave = [](evutil_socket_t, short, void* self) { static_cast<Node*>(self)->Leave(); };
   sigterm_ = OnSignal(base_.get(), SIGTERM, leave, this);
   sigint_ = OnSignal(base_.get(), SIGINT, leave, this);
@@ -103,6 +110,7 @@
     event_base_loop(base_.get(), table_.has_events() ? EVLOOP_NONBLOCK : EVLOOP_ONCE);
     if (step_due_ || table_.has_events() || (leaving_ && !notice_given_)) Step();
     front_.Sweep();
+    if (ops_) ops_->Sweep();
     if (leaving_) {
       const Steady::time_point now = Steady::now();
       DrainStep();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,9 +13,11 @@
 #include "hingelink/server_policy.h"
 #include "net/event.h"
 #include "net/gateway_front.h"
+#include "net/ops_server.h"
 #include "net/pool_link.h"
 #include "net/registry_client.h"
 #include "node/config.h"
+#include "node/metrics.h"
 #include "node/request_table.h"
 
 namespace hingelink::node {
@@ -33,6 +35,7 @@
   void Run();
 
   std::uint16_t port() const { return front_.port(); }
+  std::uint16_t ops_port() const { return ops_->port(); }
 
  private:
   using Steady = net::Steady;
@@ -46,16 +49,20 @@
   void Leave();
   void Reload();
   void DrainStep();
+  // Whether this process takes clients.
+  bool Ready() const { return listening_ && policy_ && !leaving_; }
   Millis Clock() const { return Steady::now() - began_; }
 
   Config config_;
   std::function<Config()> reread_;
   net::BasePtr base_;
   Steady::time_point began_ = Steady::now();
+  Metrics metrics_;
   net::GatewayFront front_;
   RequestTable table_;
   net::PoolLink pool_;
   net::RegistryClient registry_;
+  std::optional<net::OpsServer> ops_;
   std::optional<hingelink::ServerPolicy> policy_;
   using Due = std::pair<Steady::time_point, std::uint32_t>;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> timers_;
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -17,8 +17,8 @@
 
 }  // namespace
 
-RequestTable::RequestTable(const hingelink::Settings& settings, Front& front, Spawn spawn)
-    : settings_(settings), front_(front), spawn_(std::move(spawn)) {
+RequestTable::RequestTable(const hingelink::Settings& settings, Front& front, Metrics& metrics, Spawn spawn)
+    : settings_(settings), front_(front), metrics_(metrics), spawn_(std::move(spawn)) {
   for (std::size_t i = 0; i < settings.classes.size(); ++i) classes_.emplace(settings.classes[i].name, i);
 }
 
@@ -143,7 +143,8 @@
 
 void RequestTable::SendSpawn(Entry& entry) {
   entry.mark = spawn_(entry.req, settings_.classes[entry.cls].name, entry.body);
-  if (entry.mark != kNeverSent) ++entry.spawns;
+  // One that is sent again is the same run.
+  if (entry.mark != kNeverSent && entry.spawns++ == 0) metrics_.CountRun();
 }
 
 void RequestTable::Do(const hingelink::Start& action) {
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -19,6 +19,7 @@
 
 #include "hingelink/server_policy.h"
 #include "node/front.h"
+#include "node/metrics.h"
 
 namespace hingelink::node {
 
@@ -38,7 +39,7 @@
   // Sends a run to the pool. Gives a mark for Resend(), or kNeverSent.
   using Spawn = std::function<Mark(std::uint64_t req, std::string_view kind, std::string_view body)>;
 
-  RequestTable(const hingelink::Settings& settings, Front& front, Spawn spawn);
+  RequestTable(const hingelink::Settings& settings, Front& front, Metrics& metrics, Spawn spawn);
 
   // ---- What came; each adds what the module must know to events(). ----
   void Take(const IncomingRequest& request);
@@ -105,6 +106,7 @@
 
   const hingelink::Settings& settings_;
   Front& front_;
+  Metrics& metrics_;
   Spawn spawn_;
   std::unordered_map<std::string_view, std::size_t> classes_;
   hingelink::RequestId last_id_ = 0;
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -448,6 +448,78 @@
   assert(good.Read().type == 7);
 }
 
+bool Has(const std::string& text, const std::string& line) {
+  return text.find("\n" + line + "\n") != std::string::npos;
+}
+
+// The second address: calls in any pieces, bad ones told so, and callers that finish no call keep out nobody.
+void Operators() {
+  RunningNode node;
+  std::vector<Gateway> idle;
+  for (int i = 0; i < 20; ++i) idle.emplace_back(node.ops_port());
+  Gateway half(node.ops_port());
+  half.Write("GET /ops/readiness HT");
+  assert(node.Get("/ops/readiness").starts_with("HTTP/1.1 503 "));  // The worker pool is not up.
+  PoolLink link(node.pool, 0);
+  Settle(link);
+  Gateway gateway(node.port());
+  gateway.Write(Gateway::Request(1, kOne, "x"));
+  link.Command();
+  half.Write("TP/1.1\r\nHost: n3\r\n\r");
+  half.Write("\n");
+  assert(half.socket().Rest().starts_with("HTTP/1.1 200 "));
+  assert(node.Get("/ops/stats?all").starts_with("HTTP/1.1 200 "));
+  assert(node.Get("/ops").starts_with("HTTP/1.1 404 "));
+  assert(node.Ask("POST /ops/stats HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 405 "));
+  for (const char* bad :
+       {"nonsense\r\n\r\n", "GET  HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nno field\r\n\r\n"}) {
+    assert(node.Ask(bad).starts_with("HTTP/1.1 400 "));
+  }
+  assert(node.Ask("GET /" + std::string(9000, 'x')).starts_with("HTTP/1.1 400 "));
+  for (Gateway& caller : idle) assert(caller.socket().Closed());  // By the deadline at the latest.
+  node.Leave();
+  assert(gateway.Read().type == 9);
+  assert(node.Get("/ops/readiness").starts_with("HTTP/1.1 503 "));
+}
+
+// Each way in which a request ends is counted once, where its answer is written.
+void Figures() {
+  RunningNode node;
+  Gateway gateway(node.port());
+  gateway.Write(Gateway::Request(1, kOne, "x"));  // Refused outside the module: no worker pool yet.
+  gateway.ReadAnswer(1, 1);
+  PoolLink link(node.pool, 0);
+  Settle(link);
+  std::string figures = node.Get("/ops/stats");
+  assert(Has(figures, "edge_node_calls{tier=\"usage-view\",code=\"success\"} 0"));  // From 0 on.
+  gateway.Write(Gateway::Request(2, kOne, "x"));
+  link.Command();
+  assert(Has(node.Get("/ops/stats"), "edge_node_inflight 1"));
+  link.Finish(1, kOne, "complete", "y");
+  gateway.ReadAnswer(2, 0);
+  gateway.Write(Gateway::Request(3, kTwo, "x"));
+  link.Command();
+  link.Finish(2, kTwo, "error", "");
+  gateway.ReadAnswer(3, 2);
+  gateway.Write(Gateway::Request(4, kTwo, "x"));  // One try a second time.
+  gateway.ReadAnswer(4, 2);
+  gateway.Write(Gateway::Request(5, kThree, "x", {{"via", "none"}}));  // Cannot be read.
+  gateway.ReadAnswer(5, 1);
+  gateway.Write(Gateway::Request(6, kThree, "x", {{"kind", "no-such"}}));  // Of no class: not counted.
+  gateway.ReadAnswer(6, 1);
+  gateway.Write(Gateway::Request(7, kThree, "x"));
+  link.Command();
+  gateway.Write(peers::Number(1, 4) + std::string(5, '\0'));  // A framing fault fails what is open.
+  gateway.ReadAnswer(7, 2);
+  gateway.ReadAnswer(0, 2);
+  figures = node.Get("/ops/stats");
+  assert(Has(figures, "edge_node_calls{tier=\"order-lodge\",code=\"success\"} 1"));
+  assert(Has(figures, "edge_node_calls{tier=\"order-lodge\",code=\"busy\"} 2"));
+  assert(Has(figures, "edge_node_calls{tier=\"order-lodge\",code=\"failure\"} 3"));
+  assert(Has(figures, "edge_node_backend_calls 3"));
+  assert(Has(figures, "edge_node_inflight 0"));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -469,6 +541,8 @@
       {"log-is-bounded", LogIsBounded},
       {"old-gauges", OldGauges},
       {"long-remark", LongRemark},
+      {"operators", Operators},
+      {"figures", Figures},
   };
   for (const auto& [name, story] : stories) {
     if (argc != 2 || std::strcmp(argv[1], name) != 0) continue;
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -63,6 +63,12 @@
   }
   // Whether the peer closes or resets without a further byte.
   bool Closed() { return read_.empty() && !More(); }
+  // All that comes until the peer closes.
+  std::string Rest() {
+    while (More()) {
+    }
+    return std::exchange(read_, {});
+  }
   int fd() const { return fd_; }
 
  private:
@@ -249,6 +255,16 @@
     return config;
   }
   std::uint16_t port() const { return node_.port(); }
+  std::uint16_t ops_port() const { return node_.ops_port(); }
+  // The whole response to one call on the second address.
+  std::string Ask(const std::string& call) const {
+    Gateway caller(ops_port());
+    caller.Write(call);
+    return caller.socket().Rest();
+  }
+  std::string Get(const std::string& path) const {
+    return Ask("GET " + path + " HTTP/1.1\r\nHost: n3\r\n\r\n");
+  }
 
   Listener pool, registry;
 
@@ -263,10 +279,10 @@
       "specifics":{"cpus":1,"memoryKb":16998.0,"runFactor":4.0,"signal":"window","heardForMs":100.0,
       "idleMs":30000.0,"passesDeadline":true,"tellsGone":true,"clientsTotal":3,"dependsOn":"silent",
       "freshMs":60000.0,"keyKb":1.0,"gauges":["cpu_busy","runnable","mem_used","sockets"]}})";
-    return R"({"name":"n3","listen":"127.0.0.1:0","pool":")" + pool.Address() + R"(","registry":")" +
-           registry.Address() + R"(","seed":"8c1f30d27a5be964","stop_ms":)" + std::to_string(stop_ms) +
-           R"(,"limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(sockets) +
-           R"(},"settings":)" + settings + "}";
+    return R"({"name":"n3","listen":"127.0.0.1:0","ops":"127.0.0.1:0","pool":")" + pool.Address() +
+           R"(","registry":")" + registry.Address() + R"(","seed":"8c1f30d27a5be964","stop_ms":)" +
+           std::to_string(stop_ms) + R"(,"limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
+           std::to_string(sockets) + R"(},"settings":)" + settings + "}";
   }
 
   std::string config_;
