Hand the listening socket to a successor, so that upgrades turn nobody back

Built: src/net/handover (SCM_RIGHTS over $TMPDIR), the module's event OtherLoad and InHand(); limits on runs, bytes, wait and descriptors sum both processes. Ruled out: SO_REUSEPORT alone (see docs/parts.md). A story that took 3.8 s was traced to a test socket that a forked child still held, not to the node. Stories: upgrade, lost-successor.

--- a/include/hingelink/server_policy.h
+++ b/include/hingelink/server_policy.h
@@ -166,7 +166,22 @@
   double left_ms = 0;
 };
 
-using Event = std::variant<Arrival, CallerGone, Finished, AtCall, CallEnded, TimerFired, DrainNotice>;
+// What a server has in hand.
+struct Load {
+  int running = 0;     // Runs that want a core.
+  double kb = 0;       // Held and running requests, and keys.
+  double work_ms = 0;  // Expected for what is held.
+  bool operator==(const Load&) const = default;
+};
+
+// The last word on what another process of the same server has in hand, while one takes over from the other:
+// the limits hold for both together. It replaces the one before.
+struct OtherLoad {
+  Load load;
+};
+
+using Event =
+    std::variant<Arrival, CallerGone, Finished, AtCall, CallEnded, TimerFired, DrainNotice, OtherLoad>;
 
 // ---- Actions, to be carried out in order. ----
 
@@ -239,6 +254,9 @@
   // The first call must come right after construction, with or without events, so that timers get set.
   const std::vector<Action>& Step(double now_ms, std::span<const Event> events);
 
+  // What it has in hand after the last Step.
+  Load InHand() const;
+
  private:
   class Logic;
   std::unique_ptr<Logic> logic_;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -183,6 +183,8 @@
     return out_;
   }
 
+  Load InHand() const { return {running_ - at_call_, held_kb_ + run_kb_ + keys_kb_, held_cost_}; }
+
  private:
   static constexpr double Forever() { return std::numeric_limits<double>::infinity(); }
 
@@ -358,6 +360,8 @@
     Look(e.gauges);
   }
 
+  void On(const OtherLoad& e) { other_ = e.load; }
+
   void On(const DrainNotice& e) {
     if (draining_) return;
     draining_ = true;
@@ -393,8 +397,8 @@
       if (q < 0) return;
       const RequestId id = queues_[q].begin()->second;
       Request& r = live_[id];
-      if (running_ - at_call_ >= std::floor(limit_)) return;
-      if (held_kb_ + run_kb_ + keys_kb_ + r.kb * (s_.run_factor - 1) > kWatermark * s_.memory_kb) return;
+      if (OnCores() >= std::floor(limit_)) return;
+      if (Kb() + r.kb * (s_.run_factor - 1) > kWatermark * s_.memory_kb) return;
       Unhold(id, r);
       held_cost_ -= r.cost;
       held_kb_ -= r.kb;
@@ -452,6 +456,13 @@
 
   // ---- The hold ----
 
+  // With what another process of this server has in hand. Guards against two processes that each fill the
+  // cores and the memory while one takes over from the other.
+  int OnCores() const { return running_ - at_call_ + other_.running; }
+  double Kb() const { return held_kb_ + run_kb_ + keys_kb_ + other_.kb; }
+  // How long what is held takes, as runs go just now.
+  double Wait() const { return pace_ * (held_cost_ + other_.work_ms) / limit_; }
+
   int QueueOf(const Request& r) const { return r.cls * 2 + (r.behind ? 1 : 0); }
 
   void Hold(RequestId id, Request& r) {
@@ -483,9 +494,7 @@
     return s_.classes[c].worth * (s_.worth_by_work ? std::max(1.0, mean_cost_[c]) : 1);
   }
 
-  bool BytesFull() const {
-    return held_kb_ > kHoldMemory * s_.memory_kb || held_kb_ + run_kb_ + keys_kb_ > kWatermark * s_.memory_kb;
-  }
+  bool BytesFull() const { return held_kb_ > kHoldMemory * s_.memory_kb || Kb() > kWatermark * s_.memory_kb; }
 
   // The hold mark: held bytes, and held work as a wait that an arrival of this class would see. Over it, the
   // least worth held is refused, or else the arrival: early enough to be served elsewhere.
@@ -493,9 +502,9 @@
     for (;;) {
       Request* r = Find(id);
       if (r == nullptr) return;
-      const double wait = pace_ * held_cost_ / limit_;
+      const double wait = Wait();
       const double share = kHoldShare * std::max(0.0, r->aim - now_);
-      if (!BytesFull() && (wait <= share || running_ - at_call_ < s_.cores)) return;
+      if (!BytesFull() && (wait <= share || OnCores() < s_.cores)) return;
       int worst = QueueOf(*r);
       for (int q = 0; q < static_cast<int>(queues_.size()); ++q) {
         if (!queues_[q].empty() && Worth(q) < Worth(worst)) worst = q;
@@ -517,8 +526,7 @@
       no.no_retry = !draining_ && !stalled_ &&
                     (r.over_share || r.aim <= now_ || (gate_on_ && (r.retry || retry_share_ > kRetriesHigh)));
       if (s_.passes_retry_after) {
-        const double advice =
-            draining_ || stalled_ ? s_.max_retry_after_ms : kAdvice * pace_ * held_cost_ / limit_;
+        const double advice = draining_ || stalled_ ? s_.max_retry_after_ms : kAdvice * Wait();
         no.retry_after_ms = std::min(s_.max_retry_after_ms, advice);
       }
       Do(no);
@@ -689,7 +697,7 @@
   // Puts the try in the table, from reading on, for its whole window. False where there is no room.
   bool KeepEntry(RequestId id, Request& r, Effect& e) {
     if (keys_kb_ + s_.key_kb > (Keyed(r) ? kKeyMemory : kHoldMemory) * s_.memory_kb ||
-        held_kb_ + run_kb_ + keys_kb_ + s_.key_kb > kWatermark * s_.memory_kb) {
+        Kb() + s_.key_kb > kWatermark * s_.memory_kb) {
       return false;
     }
     e.holder = id;
@@ -847,11 +855,11 @@
 
   void Look(const std::vector<double>& gauges) {
     const double busy = Gauge(gauges, busy_gauge_, 1);
-    const double runnable = Gauge(gauges, runnable_gauge_, running_ - at_call_);
+    const double runnable = Gauge(gauges, runnable_gauge_, OnCores());
     const bool warm = !s_.cold || now_ - began_ >= s_.cold_ms;
     const double top = s_.cores * (warm ? s_.fall_multiple : 1 + (s_.fall_multiple - 1) * s_.cold_share);
     const double gap = s_.cores + kCrowd - runnable;
-    const bool binding = running_ - at_call_ >= std::floor(limit_) - 1;
+    const bool binding = OnCores() >= std::floor(limit_) - 1;
     if (gap < 0 || (held_cost_ > 0 && binding)) limit_ += kClimb * gap;
     limit_ = std::clamp<double>(limit_, s_.cores, std::max<double>(s_.cores, top));
     busy_sum_ += busy;
@@ -934,6 +942,7 @@
   std::set<std::pair<double, RequestId>> ledger_;
   double held_kb_ = 0, run_kb_ = 0, keys_kb_ = 0;
   double held_cost_ = 0;
+  Load other_;
   int running_ = 0;  // Runs, those at a call included.
   int at_call_ = 0;
   double limit_ = 0;
@@ -993,4 +1002,6 @@
   return logic_->Step(now_ms, events);
 }
 
+Load ServerPolicy::InHand() const { return logic_->InHand(); }
+
 }  // namespace hingelink
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,7 +35,8 @@
         if (const char* ops = std::getenv("NODE_OPS"); fresh.ops.empty() && ops != nullptr) fresh.ops = ops;
         return fresh;
       };
-      hingelink::node::Node(read(), read).Run();
+      const char* shared = std::getenv("TMPDIR");
+      hingelink::node::Node(read(), read, shared != nullptr ? shared : "").Run();
     }
     return 0;
   } catch (const std::exception& fault) {
--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -320,25 +320,33 @@
   Steady::time_point last_used_ = Steady::now();
 };
 
-GatewayFront::GatewayFront(event_base* base, const sockaddr_in& listen, std::size_t most_connections,
-                           node::FrontEvents events)
+GatewayFront::GatewayFront(event_base* base, const sockaddr_in& listen, Descriptor handed_over,
+                           std::size_t most_connections, node::FrontEvents events)
     : base_(base),
       events_(std::move(events)),
       most_connections_(most_connections),
       listen_again_(base,
                     [this] {
-                      if (listener_) evconnlistener_enable(listener_.get());
+                      if (listener_ && !paused_) evconnlistener_enable(listener_.get());
                     }),
       idle_sweep_(base, [this] { SweepIdle(); }),
       look_(base, [this] { Look(); }) {
   look_.After(kLook);
-  listener_.reset(evconnlistener_new_bind(
-      base,
-      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-        static_cast<GatewayFront*>(self)->Accept(fd);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
-      reinterpret_cast<const sockaddr*>(&listen), sizeof listen));
+  const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+    static_cast<GatewayFront*>(self)->Accept(fd);
+  };
+  constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
+  if (handed_over.get() >= 0) {
+    paused_ = true;
+    listener_.reset(
+        evconnlistener_new(base, accept, this, kOptions | LEV_OPT_DISABLED, 0, handed_over.get()));
+    if (listener_) handed_over.release();
+  } else {
+    // Shares the port, so that another process can listen even where the handover of the socket fails.
+    listener_.reset(evconnlistener_new_bind(base, accept, this,
+                                            kOptions | LEV_OPT_REUSEABLE | LEV_OPT_REUSEABLE_PORT, kBacklog,
+                                            reinterpret_cast<const sockaddr*>(&listen), sizeof listen));
+  }
   if (!listener_) throw std::runtime_error(std::string("cannot listen: ") + std::strerror(errno));
   // Guards against a loop that spins on a listener whose accept fails for want of descriptors.
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
@@ -429,6 +437,16 @@
   for (const auto& [id, connection] : connections_) connection->AskForNoMore();
 }
 
+void GatewayFront::PauseListening() {
+  paused_ = true;
+  if (listener_) evconnlistener_disable(listener_.get());
+}
+
+void GatewayFront::ResumeListening() {
+  paused_ = asked_for_no_more_ = false;
+  evconnlistener_enable(listener_.get());
+}
+
 void GatewayFront::StopListening() {
   if (!listener_) return;
   // A connection that the kernel has accepted may hold a request already: closing the listener would reset
@@ -447,6 +465,6 @@
                      [](const auto& entry) { return entry.second->sent(); });
 }
 
-std::uint16_t GatewayFront::port() const { return LocalPort(evconnlistener_get_fd(listener_.get())); }
+std::uint16_t GatewayFront::port() const { return LocalPort(listener()); }
 
 }  // namespace hingelink::net
--- a/src/net/gateway_front.h
+++ b/src/net/gateway_front.h
@@ -35,9 +35,10 @@
 
 class GatewayFront : public node::Front {
  public:
-  // Listens at once. Throws std::runtime_error where it cannot.
-  GatewayFront(event_base* base, const sockaddr_in& listen, std::size_t most_connections,
-               node::FrontEvents events);
+  // Listens at once; on a socket that was handed over, from ResumeListening() on. Throws std::runtime_error
+  // where it cannot.
+  GatewayFront(event_base* base, const sockaddr_in& listen, Descriptor handed_over,
+               std::size_t most_connections, node::FrontEvents events);
   ~GatewayFront() override;
 
   void Deliver(node::ReplyTo to, const node::FinalAnswer& answer) override;
@@ -47,6 +48,11 @@
 
   // Asks for no new request on any connection that stands and has not been asked.
   void AskForNoMore();
+  void SetMostConnections(std::size_t most) { most_connections_ = most; }
+  // Accepts no more for the time being; what waits in the queue is another process's.
+  void PauseListening();
+  void ResumeListening();
+  evutil_socket_t listener() const { return evconnlistener_get_fd(listener_.get()); }
   // Takes in what the kernel has accepted already, and then listens no more.
   void StopListening();
   // Frees the connections that ended since the last call. Not to be called from within a callback.
@@ -77,6 +83,7 @@
   std::chrono::milliseconds idle_after_{0};
   bool healthy_ = true;
   bool asked_for_no_more_ = false;
+  bool paused_ = false;
   std::optional<double> signal_;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
--- /dev/null
+++ b/src/net/handover.cpp
@@ -0,0 +1,304 @@
+#include "net/handover.h"
+
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <string_view>
+
+#include "net/log.h"
+
+namespace hingelink::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr char kName[] = "/hingelink.sock";
+constexpr int kBacklog = 4;
+// Successors at a time. Guards the descriptors.
+constexpr std::size_t kMostChannels = 4;
+// For the predecessor to send its listening socket, in the middle of a flood and on part of a core. Guards
+// against one that hangs: this process then listens for itself.
+constexpr timeval kPatience{2, 0};
+// For its word that it takes no more clients.
+constexpr auto kSettle = 1s;
+
+// Whether `path` fits into an address.
+bool ToAddress(const std::string& path, sockaddr_un& address) {
+  address = {};
+  address.sun_family = AF_UNIX;
+  if (path.size() >= sizeof address.sun_path) return false;
+  std::memcpy(address.sun_path, path.data(), path.size());
+  return true;
+}
+
+Descriptor UnixSocket(int flags) {
+  return Descriptor(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | flags, 0));
+}
+
+// Sends the first line, with the listening socket.
+bool SendListener(evutil_socket_t to, evutil_socket_t listener) {
+  iovec text{const_cast<char*>(proto::kHandoverListener.data()), proto::kHandoverListener.size()};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+  msghdr message{};
+  message.msg_iov = &text;
+  message.msg_iovlen = 1;
+  message.msg_control = control;
+  message.msg_controllen = sizeof control;
+  cmsghdr* head = CMSG_FIRSTHDR(&message);
+  head->cmsg_level = SOL_SOCKET;
+  head->cmsg_type = SCM_RIGHTS;
+  head->cmsg_len = CMSG_LEN(sizeof(int));
+  std::memcpy(CMSG_DATA(head), &listener, sizeof listener);
+  return sendmsg(to, &message, MSG_NOSIGNAL) == static_cast<ssize_t>(proto::kHandoverListener.size());
+}
+
+Descriptor ReceiveListener(evutil_socket_t from) {
+  char line[proto::kHandoverListener.size()];
+  iovec text{line, sizeof line};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+  msghdr message{};
+  message.msg_iov = &text;
+  message.msg_iovlen = 1;
+  message.msg_control = control;
+  message.msg_controllen = sizeof control;
+  const ssize_t got = recvmsg(from, &message, MSG_CMSG_CLOEXEC | MSG_WAITALL);
+  const cmsghdr* head = got > 0 ? CMSG_FIRSTHDR(&message) : nullptr;
+  if (head == nullptr || head->cmsg_type != SCM_RIGHTS) return Descriptor();
+  int fd = -1;
+  std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
+  Descriptor listener(fd);
+  const bool whole = std::string_view(line, static_cast<std::size_t>(got)) == proto::kHandoverListener;
+  return whole ? std::move(listener) : Descriptor();
+}
+
+}  // namespace
+
+class Handover::Channel {
+ public:
+  Channel(Handover& handover, Descriptor fd, bool to_predecessor)
+      : to_predecessor_(to_predecessor),
+        handover_(handover),
+        bev_(bufferevent_socket_new(handover.base_, fd.release(), BEV_OPT_CLOSE_ON_FREE)) {
+    if (!bev_) throw std::runtime_error("libevent: no bufferevent");
+    bufferevent_priority_set(bev_.get(), kUrgent);
+    bufferevent_setcb(
+        bev_.get(), [](bufferevent*, void* self) { static_cast<Channel*>(self)->Read(); }, nullptr,
+        [](bufferevent*, short what, void* self) {
+          auto* it = static_cast<Channel*>(self);
+          it->handover_.End(*it, (what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
+        },
+        this);
+    bufferevent_setwatermark(bev_.get(), EV_READ, 0, 16 * proto::kMostHandoverLine);
+    bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+  }
+
+  void Say(std::string_view line) {
+    // Guards against a process that hangs and takes nothing: it is told no more.
+    if (Unsent(bev_.get()) < 64 * proto::kMostHandoverLine) Send(bev_.get(), line);
+  }
+  // At the end of this process, past the loop.
+  void SayEnds() {
+    const auto size = static_cast<ssize_t>(proto::kHandoverEnds.size());
+    if (Unsent(bev_.get()) > 0) return;
+    if (send(bufferevent_getfd(bev_.get()), proto::kHandoverEnds.data(), proto::kHandoverEnds.size(),
+             MSG_NOSIGNAL | MSG_DONTWAIT) != size) {
+      LogLine("handover-unsaid");
+    }
+  }
+  void Stop() {
+    bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
+  }
+
+  const bool to_predecessor_;
+  proto::LoadLine load_;
+  bool ready_ = false;  // A successor that takes the clients.
+  bool ends_ = false;   // It said so.
+
+ private:
+  void Read() {
+    for (;;) {
+      const std::string_view all = Arrived(bev_.get());
+      const std::size_t end = all.find('\n');
+      if (end == std::string_view::npos) {
+        if (all.size() >= proto::kMostHandoverLine) handover_.End(*this, "line");
+        return;
+      }
+      handover_.Take(*this, all.substr(0, end + 1));
+      Consume(bev_.get(), end + 1);
+    }
+  }
+
+  Handover& handover_;
+  BufferPtr bev_;
+};
+
+Handover::Handover(event_base* base, const std::string& folder, Events events)
+    : base_(base), events_(std::move(events)), overdue_(base, [this] {
+        LogLine("handover-overdue");
+        settled_ = true;
+      }) {
+  sockaddr_un address;
+  if (folder.empty()) return;
+  // The longer name that is bound first must fit, too.
+  if (ToAddress(folder + kName + '.' + std::to_string(getpid()), address)) {
+    path_ = folder + kName;
+  } else {
+    LogLine("handover-off what=the folder's path is too long");
+  }
+}
+
+void Handover::Withdraw() {
+  // A successor has put its own socket there.
+  if (server_.get() >= 0 && !handed_over_) unlink(path_.c_str());
+  accept_.reset();
+  server_ = Descriptor();
+}
+
+Handover::~Handover() {
+  // Guards against a predecessor that takes clients again, though a third process does.
+  for (const auto& channel : channels_) {
+    if (handed_over_ && channel->to_predecessor_) channel->SayEnds();
+  }
+  Withdraw();
+}
+
+Descriptor Handover::TakeListener() {
+  sockaddr_un address;
+  if (path_.empty() || !ToAddress(path_, address)) return Descriptor();
+  Descriptor channel = UnixSocket(0);
+  if (channel.get() < 0) return Descriptor();
+  // Also bounds connect().
+  setsockopt(channel.get(), SOL_SOCKET, SO_RCVTIMEO, &kPatience, sizeof kPatience);
+  setsockopt(channel.get(), SOL_SOCKET, SO_SNDTIMEO, &kPatience, sizeof kPatience);
+  // Guards against a file that a killed process left behind: nobody accepts there.
+  if (connect(channel.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    return Descriptor();
+  }
+  Descriptor listener = ReceiveListener(channel.get());
+  if (listener.get() < 0) {
+    LogLine("handover-failed what=%s", std::strerror(errno));
+    return Descriptor();
+  }
+  evutil_make_socket_nonblocking(channel.get());
+  settled_ = false;
+  Add(std::move(channel), true);
+  LogLine("handover-begins");
+  return listener;
+}
+
+void Handover::Offer(evutil_socket_t listener) {
+  sockaddr_un address;
+  const std::string fresh = path_ + '.' + std::to_string(getpid());
+  if (path_.empty() || server_.get() >= 0 || !ToAddress(fresh, address)) return;
+  listener_ = listener;
+  Descriptor server = UnixSocket(SOCK_NONBLOCK);
+  unlink(fresh.c_str());
+  // Bound under a name of its own and then moved there: at no time is there a socket that nobody serves.
+  if (server.get() < 0 ||
+      bind(server.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+      listen(server.get(), kBacklog) != 0 || std::rename(fresh.c_str(), path_.c_str()) != 0) {
+    LogLine("handover-off what=%s", std::strerror(errno));
+    unlink(fresh.c_str());
+    return;
+  }
+  server_ = std::move(server);
+  accept_.reset(event_new(
+      base_, server_.get(), EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<Handover*>(self)->Accept(); }, this));
+  if (!accept_) throw std::runtime_error("libevent: no event");
+  event_priority_set(accept_.get(), kUrgent);
+  event_add(accept_.get(), nullptr);
+}
+
+void Handover::Accept() {
+  Descriptor fd(accept4(server_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (fd.get() < 0 || channels_.size() >= kMostChannels) return;
+  if (!SendListener(fd.get(), listener_)) return;
+  LogLine("handover-begins successor=yes");
+  Add(std::move(fd), false);
+  events_.load();
+}
+
+void Handover::Add(Descriptor fd, bool to_predecessor) {
+  channels_.push_back(std::make_unique<Channel>(*this, std::move(fd), to_predecessor));
+  told_ = {};  // As far as it knows: the next Tell() says what is true.
+}
+
+void Handover::SayReady() {
+  for (const auto& channel : channels_) {
+    if (!channel->to_predecessor_) continue;
+    channel->Say(proto::kHandoverReady);
+    overdue_.After(kSettle);
+  }
+}
+
+void Handover::Take(Channel& channel, std::string_view line) {
+  if (line == proto::kHandoverReady && !channel.to_predecessor_) {
+    channel.ready_ = true;
+    channel.Say(proto::kHandoverLeaving);
+    handed_over_ = true;
+    events_.successor_ready();
+  } else if (line == proto::kHandoverLeaving && channel.to_predecessor_) {
+    overdue_.Stop();
+    settled_ = true;
+    LogLine("handover-done");
+  } else if (line == proto::kHandoverEnds) {
+    channel.ends_ = true;
+  } else if (const auto load = proto::ReadLoad(line.substr(0, line.size() - 1))) {
+    channel.load_ = *load;
+    events_.load();
+  }
+}
+
+void Handover::End(Channel& channel, const char* reason) {
+  const auto it = std::find_if(channels_.begin(), channels_.end(),
+                               [&channel](const auto& entry) { return entry.get() == &channel; });
+  if (it == channels_.end()) return;
+  LogLine("handover-channel-end reason=%s other=%s", channel.ends_ ? "ended" : reason,
+          channel.to_predecessor_ ? "predecessor" : "successor");
+  channel.Stop();
+  ended_.push_back(std::move(*it));
+  channels_.erase(it);
+  if (channel.to_predecessor_) {
+    overdue_.Stop();
+    settled_ = true;
+  }
+  events_.load();
+  if (channel.ready_ && !channel.ends_) {
+    handed_over_ = std::any_of(channels_.begin(), channels_.end(), [](const auto& c) { return c->ready_; });
+    if (handed_over_) return;
+    // The lost one has put its socket where this one's was.
+    accept_.reset();
+    server_ = Descriptor();
+    Offer(listener_);
+    events_.successor_lost();
+  }
+}
+
+proto::LoadLine Handover::others_load() const {
+  proto::LoadLine sum;
+  for (const auto& channel : channels_) {
+    sum.running += channel->load_.running;
+    sum.kb += channel->load_.kb;
+    sum.work_ms += channel->load_.work_ms;
+    sum.connections += channel->load_.connections;
+  }
+  return sum;
+}
+
+void Handover::Tell(const proto::LoadLine& load) {
+  if (load == told_) return;
+  told_ = load;
+  const std::string line = proto::EncodeLoad(load);
+  for (const auto& channel : channels_) channel->Say(line);
+}
+
+void Handover::Sweep() { ended_.clear(); }
+
+}  // namespace hingelink::net
--- /dev/null
+++ b/src/net/handover.h
@@ -0,0 +1,73 @@
+// Between two processes of one node: the successor gets the listening socket over a UNIX socket in a folder
+// that both share, says when it takes clients, and both tell what they have in hand.
+#ifndef HINGELINK_NET_HANDOVER_H_
+#define HINGELINK_NET_HANDOVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/event.h"
+#include "proto/handover_lines.h"
+
+namespace hingelink::net {
+
+class Handover {
+ public:
+  struct Events {
+    std::function<void()> successor_ready;  // Another process takes the clients from now on.
+    std::function<void()> successor_lost;   // None does any more.
+    std::function<void()> load;             // What the others have in hand may have changed.
+  };
+
+  // `folder` may be empty: there is neither predecessor nor successor then.
+  Handover(event_base* base, const std::string& folder, Events events);
+  ~Handover();
+
+  // The listening socket of the process that serves, or none where no such process answers.
+  Descriptor TakeListener();
+  // This process is the one that a successor asks from now on.
+  void Offer(evutil_socket_t listener);
+  // It is so no more.
+  void Withdraw();
+  // This process takes clients. Told to the predecessor.
+  void SayReady();
+  // Whether the predecessor, if any, takes no more clients.
+  bool settled() const { return settled_; }
+
+  bool has_others() const { return !channels_.empty(); }
+  std::size_t others() const { return channels_.size(); }
+  // What the others have in hand, in sum.
+  proto::LoadLine others_load() const;
+  // Tells the others, where it has changed.
+  void Tell(const proto::LoadLine& load);
+
+  // Frees the channels that ended since the last call. Not to be called from within a callback.
+  void Sweep();
+
+ private:
+  class Channel;
+
+  void Accept();
+  void Add(Descriptor fd, bool to_predecessor);
+  void Take(Channel& channel, std::string_view line);
+  void End(Channel& channel, const char* reason);
+
+  event_base* base_;
+  std::string path_;  // Empty where nothing is shared.
+  Events events_;
+  Descriptor server_;
+  EventPtr accept_;
+  evutil_socket_t listener_ = -1;
+  std::vector<std::unique_ptr<Channel>> channels_;
+  std::vector<std::unique_ptr<Channel>> ended_;
+  Timer overdue_;  // The predecessor's word that it takes no more.
+  bool settled_ = true;
+  bool handed_over_ = false;
+  proto::LoadLine told_;
+};
+
+}  // namespace hingelink::net
+
+#endif  // HINGELINK_NET_HANDOVER_H_
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,6 @@
 #include "node/node.h"
 
+#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <type_traits>
@@ -26,6 +27,10 @@
 constexpr auto kEnd = 60ms;
 constexpr auto kLastFlush = 20ms;
 constexpr auto kDrainLook = 10ms;
+// Beside a successor the kill follows so long behind the longest deadline, which is taken as at most this.
+constexpr auto kBehindLongest = 700ms, kLongestTaken = 3000ms;
+// Between two words on what this process has in hand.
+constexpr auto kTellEach = 4ms;
 
 Outcome ToOutcome(proto::RunEnd end) {
   switch (end) {
@@ -49,12 +54,16 @@
 
 }  // namespace
 
-Node::Node(Config config, std::function<Config()> reread)
+Node::Node(Config config, std::function<Config()> reread, const std::string& handover_folder)
     : config_(std::move(config)),
       reread_(std::move(reread)),
       base_(net::MakeBase()),
       metrics_(config_.settings.classes),
-      front_(base_.get(), net::ParseAddress(config_.listen),
+      handover_(base_.get(), handover_folder,
+                {.successor_ready = [this] { HandOver(); },
+                 .successor_lost = [this] { TakeBack(); },
+                 .load = [this] { SeeOthers(); }}),
+      front_(base_.get(), net::ParseAddress(config_.listen), handover_.TakeListener(),
              static_cast<std::size_t>(config_.sockets - kReserved),
              {.request = [this](const IncomingRequest& request) { Take(request); },
               .gone = [this](ReplyTo from) { table_.CallerGone(from); },
@@ -76,8 +85,12 @@
       registry_(base_.get(), net::ParseAddress(config_.registry), config_.registry, config_.name),
       timer_(base_.get(), [this] { step_due_ = true; }),
       gauge_timer_(base_.get(), [this] { pool_.Poll(); }),
+      // Beside a predecessor, once there is a worker pool to run what comes.
+      listening_(!handover_.has_others()),
       drain_timer_(base_.get(), [] {}) {
   std::signal(SIGPIPE, SIG_IGN);
+  SeeOthers();
+  if (listening_) handover_.Offer(front_.listener());
   if (!config_.ops.empty()) {
     ops_.emplace(base_.get(), net::ParseAddress(config_.ops),
                  net::OpsServer::Answers{.ready = [this] { return Ready(); },
@@ -110,7 +123,10 @@
     event_base_loop(base_.get(), table_.has_events() ? EVLOOP_NONBLOCK : EVLOOP_ONCE);
     if (step_due_ || table_.has_events() || (leaving_ && !notice_given_)) Step();
     front_.Sweep();
+    handover_.Sweep();
     if (ops_) ops_->Sweep();
+    // Its runs too must be over: the successor counts them for as long as this process tells of them.
+    if (handed_over_ && table_.empty() && front_.AllSent() && front_.connections() == 0) break;
     if (leaving_) {
       const Steady::time_point now = Steady::now();
       DrainStep();
@@ -139,6 +155,11 @@
   settings.cold = cold;
   policy_.emplace(settings, config_.seed);
   step_due_ = true;
+  if (listening_ || leaving_) return;
+  listening_ = true;
+  front_.ResumeListening();
+  handover_.Offer(front_.listener());
+  handover_.SayReady();
 }
 
 // All that is ready goes to the module in one call; then its actions are carried out in order.
@@ -151,9 +172,14 @@
     const Millis left = kill_at_ - Steady::now() - kFlush;
     events.emplace_back(hingelink::DrainNotice{std::max(0.0, left.count())});
   }
+  if (std::exchange(others_changed_, false)) {
+    const proto::LoadLine load = handover_.others_load();
+    events.emplace_back(hingelink::OtherLoad{{load.running, load.kb, load.work_ms}});
+  }
   FireTimers(events);
   for (const hingelink::Action& action : policy_->Step(Clock().count(), events)) Carry(action);
   ArmTimers();
+  TellOthers();
 }
 
 void Node::Carry(const hingelink::Action& action) {
@@ -196,9 +222,52 @@
   gauge_timer_.After(in - kGaugeLead);
 }
 
+void Node::SeeOthers() {
+  others_changed_ = step_due_ = true;
+  // The descriptors are one limit for all processes of this node, and each keeps its own reserve.
+  const auto taken =
+      static_cast<std::size_t>(kReserved) * (1 + handover_.others()) + handover_.others_load().connections;
+  const auto sockets = static_cast<std::size_t>(config_.sockets);
+  front_.SetMostConnections(sockets > taken ? sockets - taken : 1);
+}
+
+void Node::TellOthers() {
+  if (!handover_.has_others() || Steady::now() - told_at_ < kTellEach) return;
+  told_at_ = Steady::now();
+  const hingelink::Load load = policy_->InHand();
+  handover_.Tell({load.running, load.kb, load.work_ms, front_.connections()});
+}
+
+void Node::HandOver() {
+  net::LogLine("handed-over connections=%zu unanswered=%zu", front_.connections(), table_.unanswered());
+  handed_over_ = true;
+  listening_ = false;
+  front_.PauseListening();
+  front_.AskForNoMore();
+}
+
+// Guards against a successor that dies: its clients are served by this process again.
+void Node::TakeBack() {
+  if (leaving_) return;
+  net::LogLine("taken-back");
+  handed_over_ = false;
+  listening_ = true;
+  front_.ResumeListening();
+}
+
 void Node::Leave() {
   if (leaving_) return;
   leaving_ = true;
+  if (handed_over_) {
+    // No drain: nothing is to be moved away, and what is in hand is run and answered in its own time.
+    notice_given_ = true;
+    double longest = 0;
+    for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline_ms);
+    const Millis stop = std::min(Millis(longest), Millis(kLongestTaken)) + kBehindLongest;
+    kill_at_ = Steady::now() + std::chrono::duration_cast<Steady::duration>(stop);
+    net::LogLine("leave successor=yes stop_ms=%.0f", stop.count());
+    return;
+  }
   kill_at_ = Steady::now() + config_.stop;
   net::LogLine("drain stop_ms=%lld", static_cast<long long>(config_.stop.count()));
   front_.AskForNoMore();
@@ -224,6 +293,7 @@
 void Node::DrainStep() {
   if (!listening_ || Steady::now() < kill_at_ - kCloseListener) return;
   listening_ = false;
+  handover_.Withdraw();
   front_.StopListening();
   front_.AskForNoMore();
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,12 +7,14 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "hingelink/server_policy.h"
 #include "net/event.h"
 #include "net/gateway_front.h"
+#include "net/handover.h"
 #include "net/ops_server.h"
 #include "net/pool_link.h"
 #include "net/registry_client.h"
@@ -26,7 +28,8 @@
  public:
   // Listens and connects at once. Throws where that cannot be.
   // `reread` gives the configuration anew, or throws what is wrong with it.
-  Node(Config config, std::function<Config()> reread);
+  // Processes of one node that share `handover_folder` take over from each other there; empty: none does.
+  Node(Config config, std::function<Config()> reread, const std::string& handover_folder = {});
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -50,7 +53,13 @@
   void Reload();
   void DrainStep();
   // Whether this process takes clients.
-  bool Ready() const { return listening_ && policy_ && !leaving_; }
+  bool Ready() const { return listening_ && policy_ && !leaving_ && handover_.settled(); }
+  // Another process takes the clients from now on, or none does any more.
+  void HandOver();
+  void TakeBack();
+  // What the other processes of this node have in hand has changed.
+  void SeeOthers();
+  void TellOthers();
   Millis Clock() const { return Steady::now() - began_; }
 
   Config config_;
@@ -58,6 +67,7 @@
   net::BasePtr base_;
   Steady::time_point began_ = Steady::now();
   Metrics metrics_;
+  net::Handover handover_;
   net::GatewayFront front_;
   RequestTable table_;
   net::PoolLink pool_;
@@ -74,7 +84,10 @@
   net::EventPtr sighup_;
   bool leaving_ = false;
   bool notice_given_ = false;
-  bool listening_ = true;
+  bool listening_;
+  bool handed_over_ = false;
+  bool others_changed_ = false;
+  Steady::time_point told_at_{};
   bool stopped_ = false;  // The module has had its last say.
   Steady::time_point kill_at_{};
   net::Timer drain_timer_;
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -62,6 +62,8 @@
   void Do(const hingelink::DropKey& action);
   void Do(const hingelink::Replay& action);
 
+  // Nothing is in hand: no answer is owed, and no run goes on.
+  bool empty() const { return entries_.empty(); }
   // Requests that are still owed an answer.
   std::size_t unanswered() const { return waiting_.size(); }
   // Answers all that is still owed one. The module has had its last say.
--- /dev/null
+++ b/src/proto/handover_lines.h
@@ -0,0 +1,36 @@
+// The lines that two processes of one node exchange while one takes over from the other. No sockets.
+#ifndef HINGELINK_PROTO_HANDOVER_LINES_H_
+#define HINGELINK_PROTO_HANDOVER_LINES_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hingelink::proto {
+
+inline constexpr std::size_t kMostHandoverLine = 256;
+
+// The first, from the predecessor; the listening socket comes with it.
+inline constexpr std::string_view kHandoverListener = "listener\n";
+inline constexpr std::string_view kHandoverReady = "ready\n";  // The successor takes clients.
+inline constexpr std::string_view kHandoverLeaving =
+    "leaving\n";  // The predecessor's answer: it takes no more.
+inline constexpr std::string_view kHandoverEnds =
+    "ends\n";  // The sender ends, and a successor of its own stays.
+
+// What the sender has in hand.
+struct LoadLine {
+  int running = 0;
+  double kb = 0;
+  double work_ms = 0;
+  std::size_t connections = 0;
+  bool operator==(const LoadLine&) const = default;
+};
+std::string EncodeLoad(const LoadLine& load);
+// Reads a line, given without its end; nothing where it is none of a load.
+std::optional<LoadLine> ReadLoad(std::string_view line);
+
+}  // namespace hingelink::proto
+
+#endif  // HINGELINK_PROTO_HANDOVER_LINES_H_
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -1,6 +1,7 @@
 // Stories of the portal node against scripted peers, one for each way it could fail. Run with a story's name.
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
 #include <random>
 
 #include "net/log.h"
@@ -9,6 +10,7 @@
 
 namespace {
 
+using peers::ForkedNode;
 using peers::Frame;
 using peers::Gateway;
 using peers::PoolLink;
@@ -520,6 +522,91 @@
   assert(Has(figures, "edge_node_inflight 0"));
 }
 
+// A folder that processes of one node share, gone at the end.
+struct SharedFolder {
+  SharedFolder() { assert(mkdtemp(path.data()) != nullptr); }
+  ~SharedFolder() { std::filesystem::remove_all(path); }
+  std::string path = (std::filesystem::temp_directory_path() / "hingelink-XXXXXX").string();
+};
+
+// An upgrade: the predecessor serves until the successor's pool is bound, then asks for no more, answers all
+// that is in hand or crosses, and ends by itself. What waits in the queue is the successor's, SIGTERM is no
+// drain, and the limit on runs holds for both together.
+void Upgrade() {
+  const SharedFolder folder;
+  ForkedNode old(folder.path);
+  PoolLink old_link(old.pool, 0);
+  Settle(old_link);
+  Gateway gateway(old.port);
+  gateway.Write(Gateway::Request(1, kOne, "x"));
+  old_link.Command();
+  ForkedNode fresh(folder.path);
+  assert(fresh.port == old.port && !fresh.Ready() && old.Ready());
+  PoolLink link(fresh.pool, 0);
+  for (int polls = 0; polls < 3; ++polls) old_link.AnswerPoll(old_link.Line());  // It has told of its run.
+  Settle(link);
+  assert(gateway.Read().type == 9);
+  fresh.AwaitReady();
+  assert(!old.Ready());
+  Gateway next(fresh.port);
+  next.Write(Gateway::Request(1, kThree, "x"));
+  gateway.Write(Gateway::Request(2, kTwo, "crossed"));
+  for (int polls = 0; polls < 4; ++polls) {  // One core, and the predecessor's run is on it.
+    const std::string line = link.Line();
+    assert(line.starts_with("poll "));
+    link.Write("polled " + line.substr(5) + " 1 3 0.1 1\r\n");
+  }
+  old.Signal(SIGTERM);
+  old_link.Finish(1, kOne, "complete", "y");
+  assert(gateway.ReadAnswer(1, 0).body == "y");
+  assert(old_link.Command().starts_with("spawn " + kTwo));
+  old_link.Finish(2, kTwo, "complete", "z");
+  assert(gateway.ReadAnswer(2, 0).body == "z");
+  gateway.socket().Close();
+  assert(old.Wait() == 0);
+  assert(link.Command().starts_with("spawn " + kThree));
+  link.Finish(1, kThree, "complete", "next");
+  assert(next.ReadAnswer(1, 0).body == "next");
+  // A third takes over from the second.
+  ForkedNode third(folder.path);
+  PoolLink third_link(third.pool, 0);
+  Settle(third_link);
+  assert(next.Read().type == 9);
+}
+
+// A successor that dies gives the clients back; a process that dies leaves a file that stops no other.
+void LostSuccessor() {
+  const SharedFolder folder;
+  ForkedNode old(folder.path);
+  PoolLink old_link(old.pool, 0);
+  Settle(old_link);
+  Gateway gateway(old.port);
+  gateway.Write(Gateway::Request(1, kOne, "x"));
+  old_link.Command();
+  {
+    ForkedNode early(folder.path);
+    early.End(SIGKILL);  // Before it took any client.
+  }
+  ForkedNode fresh(folder.path);
+  PoolLink link(fresh.pool, 0);
+  Settle(link);
+  fresh.AwaitReady();
+  fresh.End(SIGKILL);
+  Gateway back(old.port);
+  back.Write(Gateway::Encode(6, 1, std::string(1, '\0')));
+  assert(back.Read().type == 7);
+  old.AwaitReady();
+  {
+    ForkedNode again(folder.path);
+    assert(again.port == old.port);
+  }
+  old.End(SIGKILL);
+  ForkedNode alone(folder.path);
+  PoolLink alone_link(alone.pool, 0);
+  Settle(alone_link);
+  alone.AwaitReady();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -543,6 +630,8 @@
       {"long-remark", LongRemark},
       {"operators", Operators},
       {"figures", Figures},
+      {"upgrade", Upgrade},
+      {"lost-successor", LostSuccessor},
   };
   for (const auto& [name, story] : stories) {
     if (argc != 2 || std::strcmp(argv[1], name) != 0) continue;
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cassert>
@@ -39,7 +40,9 @@
   ~Socket() { Close(); }
 
   void Close() {
-    if (fd_ >= 0) close(std::exchange(fd_, -1));
+    if (fd_ < 0) return;
+    shutdown(fd_, SHUT_RDWR);  // A forked node may hold the socket, too.
+    close(std::exchange(fd_, -1));
   }
   void Write(std::string_view bytes) const {
     assert(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
@@ -228,11 +231,21 @@
   Socket socket_;
 };
 
+// The whole response to one call on a node's second address.
+inline std::string Ask(std::uint16_t port, const std::string& call) {
+  Gateway caller(port);
+  caller.Write(call);
+  return caller.socket().Rest();
+}
+inline std::string Get(std::uint16_t port, const std::string& path) {
+  return Ask(port, "GET " + path + " HTTP/1.1\r\nHost: n3\r\n\r\n");
+}
+
 // A node in a thread of its own, told to leave at the end.
 class RunningNode {
  public:
   explicit RunningNode(int stop_ms = 600, int sockets = 1024)
-      : config_(Json(stop_ms, sockets)),
+      : config_(Json(pool, registry, stop_ms, sockets)),
         node_(hingelink::node::ParseConfig(config_),
               [this] { return hingelink::node::ParseConfig(config_); }),
         thread_([this] { node_.Run(); }) {}
@@ -256,20 +269,11 @@
   }
   std::uint16_t port() const { return node_.port(); }
   std::uint16_t ops_port() const { return node_.ops_port(); }
-  // The whole response to one call on the second address.
-  std::string Ask(const std::string& call) const {
-    Gateway caller(ops_port());
-    caller.Write(call);
-    return caller.socket().Rest();
-  }
-  std::string Get(const std::string& path) const {
-    return Ask("GET " + path + " HTTP/1.1\r\nHost: n3\r\n\r\n");
-  }
-
-  Listener pool, registry;
+  const std::string& config() const { return config_; }
+  std::string Ask(const std::string& call) const { return peers::Ask(ops_port(), call); }
+  std::string Get(const std::string& path) const { return peers::Get(ops_port(), path); }
 
- private:
-  std::string Json(int stop_ms, int sockets) const {
+  static std::string Json(const Listener& pool, const Listener& registry, int stop_ms, int sockets) {
     const std::string settings = R"({"requestClasses":[
       {"name":"usage-view","goalTimeMs":1500.0,"hardLimitMs":3500.0,"repeat":"safe","worth":1.0},
       {"name":"order-lodge","goalTimeMs":2000.0,"hardLimitMs":4900.0,"repeat":"unsafe","worth":5.0}],
@@ -285,11 +289,67 @@
            std::to_string(sockets) + R"(},"settings":)" + settings + "}";
   }
 
+  Listener pool, registry;
+
+ private:
   std::string config_;
   hingelink::node::Node node_;
   std::thread thread_;
 };
 
+// A node in a process of its own, which takes over from those that share the folder.
+class ForkedNode {
+ public:
+  explicit ForkedNode(const std::string& folder) {
+    int ends[2];
+    assert(pipe(ends) == 0);
+    pid_ = fork();
+    assert(pid_ >= 0);
+    if (pid_ == 0) {
+      {
+        const std::string json = RunningNode::Json(pool, registry, 600, 1024);
+        const auto config = [&json] { return hingelink::node::ParseConfig(json); };
+        hingelink::node::Node node(config(), config, folder);
+        const std::uint16_t ports[] = {node.port(), node.ops_port()};
+        assert(write(ends[1], ports, sizeof ports) == sizeof ports);
+        node.Run();
+      }
+      _exit(0);
+    }
+    std::uint16_t ports[2];
+    assert(read(ends[0], ports, sizeof ports) == sizeof ports);
+    close(ends[0]);
+    close(ends[1]);
+    port = ports[0];
+    ops_port = ports[1];
+  }
+  ~ForkedNode() {
+    if (pid_ > 0) End(SIGKILL);
+  }
+  void Signal(int number) const { assert(kill(pid_, number) == 0); }
+  // The exit status, once it has ended by itself.
+  int Wait() {
+    int status = 0;
+    assert(waitpid(std::exchange(pid_, -1), &status, 0) > 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  void End(int number) {
+    Signal(number);
+    Wait();
+  }
+  bool Ready() const { return Get(ops_port, "/ops/readiness").starts_with("HTTP/1.1 200 "); }
+  void AwaitReady() const {
+    while (!Ready()) {
+    }
+  }
+
+  Listener pool, registry;
+  std::uint16_t port = 0, ops_port = 0;
+
+ private:
+  pid_t pid_ = -1;
+};
+
 }  // namespace peers
 
 #endif  // HINGELINK_TESTS_SCRIPTED_PEERS_H_
