Take new settings at SIGHUP, all or nothing, with requests open in dropped classes

Built: ServerPolicy::Retune with classes in slots; Config::CheckAgainst compares the new file with the running one key by key; the request table holds each request's class by itself. Pending arrivals are stepped before the module is retuned, as they name a class by its place. Stories: retunes; module tests of Retune and of another process's load.

--- a/include/hingelink/server_policy.h
+++ b/include/hingelink/server_policy.h
@@ -66,7 +66,7 @@
   double quota_rps = 0;  // Requests a second, over the whole fleet, inside its share.
 };
 
-// Told once, at construction. Validate() names the first field that contradicts the rest.
+// Told at construction, and again by Retune(). Validate() names the first field that contradicts the rest.
 struct Settings {
   std::vector<RequestClass> classes;
   std::vector<Tenant> tenants;
@@ -125,7 +125,7 @@
   double rank = 0;            // Priority in [0, 1), as callers compare it with a kThreshold signal.
   std::uint32_t caller = 0;
   std::uint16_t tenant = 0;         // Index into Settings::tenants.
-  std::uint16_t request_class = 0;  // Index into Settings::classes.
+  std::uint16_t request_class = 0;  // Index into Settings::classes, as told last.
   bool is_retry = false;            // Marked as a later try or second copy.
   bool is_write = false;            // Changes what it is about; never answered by another's result.
 };
@@ -254,6 +254,11 @@
   // The first call must come right after construction, with or without events, so that timers get set.
   const std::vector<Action>& Step(double now_ms, std::span<const Event> events);
 
+  // Takes other settings from now on, all or none: throws as the constructor does, and then nothing has
+  // changed. Arrivals given later name their class by its place in these. Classes of the same name keep what
+  // was learned; open requests keep their class, also one that is not among these. `cold` stays as it was.
+  void Retune(const Settings& settings);
+
   // What it has in hand after the last Step.
   Load InHand() const;
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -143,21 +143,10 @@
   Logic(const Settings& settings, std::uint64_t seed) : s_(settings) {
     const std::string fault = s_.Validate();
     if (!fault.empty()) throw std::invalid_argument(fault);
-    queues_.resize(s_.classes.size() * 2);
-    for (const RequestClass& c : s_.classes) {
-      mean_run_.push_back(kGuess * c.aim_ms);
-      mean_cost_.push_back(kGuess * c.aim_ms);
-    }
-    mean_hint_.assign(s_.classes.size(), 0);
-    share_.assign(s_.classes.size(), 1.0 / s_.classes.size());
-    served_.assign(s_.classes.size(), 1);
-    learned_.assign(s_.classes.size(), 1);
-    budget_.assign(s_.tenants.size(), 0);
-    for (const Tenant& t : s_.tenants) tenant_mix_.push_back(t.share);
-    for (std::size_t i = 0; i < s_.gauges.size(); ++i) {
-      if (s_.gauges[i] == "cpu_busy") busy_gauge_ = i;
-      if (s_.gauges[i] == "runnable") runnable_gauge_ = i;
-    }
+    s_.classes.clear();
+    TakeClasses(settings.classes);
+    TakeTenants();
+    SeeGauges();
     limit_ = s_.cores;
     call_cap_ = s_.call_share > 0 ? s_.call_share * kCallFill : Forever();
     // Servers that started together would all make their first call at once: each begins somewhere in its
@@ -170,6 +159,7 @@
     out_.clear();
     batch_ = events;
     if (!begun_) Begin(now);
+    if (std::exchange(retuned_, false)) SayIdle();
     now_ = std::max(now_, now);
     ExpireKeys();
     for (const Event& event : events) {
@@ -183,19 +173,95 @@
     return out_;
   }
 
+  void Retune(const Settings& settings) {
+    const std::string fault = settings.Validate();
+    if (!fault.empty()) throw std::invalid_argument(fault);
+    const bool same_tenants =
+        std::equal(s_.tenants.begin(), s_.tenants.end(), settings.tenants.begin(), settings.tenants.end(),
+                   [](const Tenant& a, const Tenant& b) { return a.name == b.name && a.share == b.share; });
+    const bool cold = s_.cold;  // Of this life, whatever the new settings say.
+    std::vector<RequestClass> slots = std::move(s_.classes);
+    s_ = settings;
+    s_.cold = cold;
+    s_.classes = std::move(slots);
+    TakeClasses(settings.classes);
+    if (!same_tenants) TakeTenants();
+    SeeGauges();
+    call_cap_ = s_.call_share > 0 ? s_.call_share * call_fill_ : Forever();
+    retuned_ = true;
+  }
+
   Load InHand() const { return {running_ - at_call_, held_kb_ + run_kb_ + keys_kb_, held_cost_}; }
 
  private:
   static constexpr double Forever() { return std::numeric_limits<double>::infinity(); }
 
+  // Gives each class a slot, which s_.classes and all that is kept by class are indexed by: its own where a
+  // class of that name is listed or has requests open, else one that nothing refers to, else a new one.
+  // Guards against an open request that turns into one of another class, and against tables that grow with
+  // each file.
+  void TakeClasses(const std::vector<RequestClass>& classes) {
+    const std::vector<bool> before = std::exchange(listed_, std::vector<bool>(s_.classes.size(), false));
+    slot_of_.assign(classes.size(), -1);
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+      for (std::size_t k = 0; k < listed_.size() && slot_of_[i] < 0; ++k) {
+        if (listed_[k] || s_.classes[k].name != classes[i].name || (!before[k] && open_[k] == 0)) continue;
+        slot_of_[i] = static_cast<int>(k);
+        listed_[k] = true;
+        s_.classes[k] = classes[i];
+      }
+    }
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+      if (slot_of_[i] >= 0) continue;
+      std::size_t k = 0;
+      while (k < listed_.size() && (listed_[k] || open_[k] > 0)) ++k;
+      if (k == listed_.size()) {
+        queues_.resize(2 * k + 2);
+        for (auto* means : {&mean_run_, &mean_cost_, &mean_hint_, &share_, &served_}) means->resize(k + 1);
+        s_.classes.resize(k + 1);
+        learned_.resize(k + 1);
+        open_.resize(k + 1);
+        listed_.resize(k + 1);
+      }
+      slot_of_[i] = static_cast<int>(k);
+      listed_[k] = true;
+      s_.classes[k] = classes[i];
+      mean_run_[k] = mean_cost_[k] = kGuess * classes[i].aim_ms;
+      mean_hint_[k] = 0;
+      share_[k] = 1.0 / classes.size();
+      served_[k] = learned_[k] = 1;
+    }
+    for (std::size_t k = 0; k < listed_.size(); ++k) {
+      if (!listed_[k]) share_[k] = 0;
+    }
+  }
+
+  void TakeTenants() {
+    budget_.assign(s_.tenants.size(), 0);
+    tenant_mix_.clear();
+    for (const Tenant& t : s_.tenants) tenant_mix_.push_back(t.share);
+    for (std::size_t t = 0; t < budget_.size(); ++t) budget_[t] = QuotaHere(t) * kBurstMs;
+  }
+
+  void SeeGauges() {
+    busy_gauge_ = runnable_gauge_ = -1;
+    for (std::size_t i = 0; i < s_.gauges.size(); ++i) {
+      if (s_.gauges[i] == "cpu_busy") busy_gauge_ = i;
+      if (s_.gauges[i] == "runnable") runnable_gauge_ = i;
+    }
+  }
+
   void Begin(double now) {
     begun_ = true;
     now_ = began_ = now;
     next_look_ = now + kLookMs;
     next_gate_ = now + kGateMs;
     refill_at_ = now;
-    for (std::size_t t = 0; t < budget_.size(); ++t) budget_[t] = QuotaHere(t) * kBurstMs;
     Do(SetHealth{true, true});
+    SayIdle();
+  }
+
+  void SayIdle() {
     if (s_.idle_ms > 0) Do(CloseIdle{s_.idle_ms * std::min(1.0, kIdleReturn * s_.cores / s_.callers)});
   }
 
@@ -209,11 +275,12 @@
   // ---- Events ----
 
   void On(const Arrival& a) {
-    if (a.id == 0 || live_.count(a.id) != 0 || a.request_class >= s_.classes.size()) return;
-    const RequestClass& c = s_.classes[a.request_class];
+    if (a.id == 0 || live_.count(a.id) != 0 || a.request_class >= slot_of_.size()) return;
+    const int slot = slot_of_[a.request_class];
+    const RequestClass& c = s_.classes[slot];
     Request& r = live_[a.id];
-    r.cls = a.request_class;
-
+    r.cls = slot;
+    ++open_[slot];
     r.kb = a.held_kb;
     r.arrival = now_ - a.unread_ms;
     // A told wait past the class's own is not believed. Guards against held entries that pile up for a day.
@@ -445,7 +512,10 @@
   // short runs on many cores, where a gap of 20 ms told of a stall: any break of the link to the workers did.
   void SeeStall() {
     if (running_ - at_call_ < s_.cores) moved_at_ = now_;
-    const double usual = *std::max_element(mean_run_.begin(), mean_run_.end());
+    double usual = 0;
+    for (std::size_t k = 0; k < mean_run_.size(); ++k) {
+      if (listed_[k] || open_[k] > 0) usual = std::max(usual, mean_run_[k]);
+    }
     // Not before the means are learned: the first to finish are the short runs, and a guess may lie far off.
     const double span = std::max(kStallLeastMs, kStall * usual / std::max(1, running_ - at_call_));
     const bool stalled = finished_ >= 1 / kLearn && now_ - moved_at_ > span;
@@ -480,10 +550,10 @@
     const int c = q / 2;
     const double work = std::max(1.0, mean_cost_[c]);
     double all = 0;
-    int worst = 0;
+    int worst = -1;
     for (int k = 0; k < static_cast<int>(s_.classes.size()); ++k) {
       all += share_[k] * ClassWorth(k);
-      if (served_[k] < served_[worst]) worst = k;
+      if (listed_[k] && (worst < 0 || served_[k] < served_[worst])) worst = k;
     }
     const double whole = (s_.goal_whole + s_.goal_window) * ClassWorth(c) / std::max(1e-9, all);
     const double least = c == worst ? s_.goal_class / std::max(0.01, share_[c]) : 0;
@@ -575,6 +645,7 @@
 
   void Erase(RequestId id, Request& r) {
     Unwatch(id, r);
+    --open_[r.cls];
     live_.erase(id);
   }
 
@@ -932,7 +1003,11 @@
     Do(SetTimer{at - now_, ++token_});
   }
 
-  const Settings s_;
+  Settings s_;                // The classes by slot.
+  std::vector<int> slot_of_;  // By place in the settings told last.
+  std::vector<bool> listed_;  // By slot: among the settings told last.
+  std::vector<int> open_;     // By slot: requests in live_.
+  bool retuned_ = false;
   std::vector<Action> out_;
   std::span<const Event> batch_;
   bool begun_ = false;
@@ -1002,6 +1077,8 @@
   return logic_->Step(now_ms, events);
 }
 
+void ServerPolicy::Retune(const Settings& settings) { logic_->Retune(settings); }
+
 Load ServerPolicy::InHand() const { return logic_->InHand(); }
 
 }  // namespace hingelink
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -1,9 +1,12 @@
 #include "node/config.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "settings_parser.h"
 
@@ -53,6 +56,54 @@
   }
 }
 
+// Guards against a deadline that is a number in quotes, which flattened would be read as one, and against
+// classes that no request could name.
+void CheckClasses(const Json& settings) {
+  std::set<std::string> names;
+  for (const Json& c : Get<std::vector<Json>>(settings, "requestClasses")) {
+    const Json name = c.is_object() ? Member(c, "name") : Json();
+    if (!name.is_string() || name == "" || !names.insert(name).second) {
+      throw ConfigError("configuration: 'name' of a class is empty, taken or no text");
+    }
+    const double deadline = Member(c, "hardLimitMs").is_number() ? Get<double>(c, "hardLimitMs") : 0;
+    if (!(std::isfinite(deadline) && deadline > 0)) {
+      throw ConfigError("configuration: 'hardLimitMs' of a class is no number above 0");
+    }
+  }
+}
+
+bool SameKind(const Json& a, const Json& b) {
+  return (a.is_number() && b.is_number()) || a.type() == b.type();
+}
+
+// Guards against a file with a part left out, whose place a default would take: what `running` has must be in
+// `fresh`, too. Lists of objects are matched by name; one of a new name needs what all the running have.
+void CheckKeys(const Json& running, const Json& fresh, const std::string& path) {
+  if (!SameKind(running, fresh)) throw ConfigError("configuration: '" + path + "' is of another kind");
+  if (running.is_object()) {
+    for (const auto& [name, member] : running.items()) {
+      const std::string at = path.empty() ? name : path + '.' + name;
+      if (!fresh.contains(name)) throw ConfigError("configuration lacks '" + at + "'");
+      CheckKeys(member, fresh[name], at);
+    }
+  }
+  if (!running.is_array() || running.empty() || !running.front().is_object()) return;
+  const auto name_of = [](const Json& item) {
+    return item.is_object() ? item.value("name", Json()) : Json();
+  };
+  Json common = running.front();
+  for (const Json& item : running) {
+    for (auto it = common.begin(); it != common.end();)
+      it = item.contains(it.key()) ? std::next(it) : common.erase(it);
+  }
+  for (std::size_t i = 0; i < fresh.size(); ++i) {
+    const auto same = std::find_if(running.begin(), running.end(), [&](const Json& item) {
+      return !name_of(item).is_null() && name_of(item) == name_of(fresh[i]);
+    });
+    CheckKeys(same != running.end() ? *same : common, fresh[i], path + '.' + std::to_string(i));
+  }
+}
+
 }  // namespace
 
 Config ParseConfig(const std::string& text) {
@@ -78,6 +129,7 @@
   }
   const Json settings = Get<Json>(json, "settings");
   if (!settings.is_object()) throw ConfigError("configuration: 'settings' is no object");
+  CheckClasses(settings);
   std::string lines;
   Flatten(settings, "", lines);
   try {
@@ -87,13 +139,14 @@
   }
   const std::string wrong = config.settings.Validate();
   if (!wrong.empty()) throw ConfigError("configuration: settings: " + wrong);
-  Json rest = json;
-  rest.erase("pool");
-  rest.erase("registry");
-  config.text = rest.dump(-1, ' ', false, Json::error_handler_t::replace);
+  config.text = text;
   return config;
 }
 
+void Config::CheckAgainst(const Config& running) const {
+  CheckKeys(Json::parse(running.text, nullptr, false), Json::parse(text, nullptr, false), "");
+}
+
 Config ReadConfig(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) throw ConfigError("configuration '" + path + "' cannot be read");
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -26,10 +26,14 @@
   std::chrono::milliseconds stop{0};  // From the notice to leave to the kill.
   int sockets = 0;                    // Descriptors that the process may hold.
   hingelink::Settings settings;
-  std::string text;  // All but the addresses of the pool and the registry, as JSON.
-
-  // Whether nothing differs that takes a restart.
-  bool SameButForPeers(const Config& other) const { return text == other.text; }
+  std::string text;  // The whole file.
+
+  // Throws ConfigError where this lacks a key that `running` has, or has a value of another kind there.
+  void CheckAgainst(const Config& running) const;
+  // Whether something differs that holds for the process's whole life.
+  bool NeedsRestart(const Config& running) const {
+    return name != running.name || listen != running.listen || ops != running.ops || seed != running.seed;
+  }
 };
 
 // Throws ConfigError with one line that names what is wrong.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -274,18 +274,33 @@
   registry_.Drain();
 }
 
-// Takes up new addresses of the worker pool and the registry. All else holds for the process's whole life.
+// Takes the whole file or nothing of it. Name, addresses of its own and seed hold for the process's whole
+// life.
 void Node::Reload() {
   try {
-    const Config fresh = reread_();
+    Config fresh = reread_();
+    fresh.CheckAgainst(config_);
     const sockaddr_in pool = net::ParseAddress(fresh.pool), registry = net::ParseAddress(fresh.registry);
-    net::LogLine("reload pool=%s registry=%s needs_restart=%s", fresh.pool.c_str(), fresh.registry.c_str(),
-                 fresh.SameButForPeers(config_) ? "no" : "yes");
+    // The arrivals so far name their class by its place in the settings that held when they came.
+    Step();
+    if (policy_) policy_->Retune(fresh.settings);
+    net::LogLine("reload pool=%s registry=%s classes=%zu needs_restart=%s", fresh.pool.c_str(),
+                 fresh.registry.c_str(), fresh.settings.classes.size(),
+                 fresh.NeedsRestart(config_) ? "yes" : "no");
+    config_.settings = std::move(fresh.settings);
+    config_.text = std::move(fresh.text);
+    config_.stop = fresh.stop;
+    config_.sockets = fresh.sockets;
+    table_.Retune();
+    metrics_.SetClasses(config_.settings.classes);
+    metrics_.CountReload(true);
+    SeeOthers();
     if (std::exchange(config_.pool, fresh.pool) != fresh.pool) pool_.Move(pool);
     if (std::exchange(config_.registry, fresh.registry) != fresh.registry) {
       registry_.Move(registry, fresh.registry);
     }
   } catch (const std::exception& fault) {
+    metrics_.CountReload(false);
     net::LogLine("reload-failed what=%s", fault.what());
   }
 }
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -19,7 +19,21 @@
 
 RequestTable::RequestTable(const hingelink::Settings& settings, Front& front, Metrics& metrics, Spawn spawn)
     : settings_(settings), front_(front), metrics_(metrics), spawn_(std::move(spawn)) {
-  for (std::size_t i = 0; i < settings.classes.size(); ++i) classes_.emplace(settings.classes[i].name, i);
+  Retune();
+}
+
+void RequestTable::Retune() {
+  std::unordered_map<std::string_view, ClassPtr> fresh;
+  std::uint16_t place = 0;
+  for (const hingelink::RequestClass& c : settings_.classes) {
+    const auto known = classes_.find(c.name);
+    const bool same = known != classes_.end() && known->second->repeat == c.repeat;
+    // Another id where it is another class: guards against an answer kept for a class that was dropped since.
+    const auto cls = std::make_shared<const Class>(
+        Class{c.name, c.repeat, same ? known->second->id : ++last_class_, place++});
+    fresh.emplace(cls->name, cls);
+  }
+  classes_ = std::move(fresh);
 }
 
 void RequestTable::Take(const IncomingRequest& request) {
@@ -42,7 +56,7 @@
   entry.body = request.body;
   entry.subject = request.subject;
   if (Shares(entry)) {
-    const Kept* kept = Fresh({entry.cls, entry.subject}, std::chrono::steady_clock::now());
+    const Kept* kept = Fresh({entry.cls->id, entry.subject}, std::chrono::steady_clock::now());
     if (kept != nullptr) entry.forerunner = kept->id;
   }
   by_req_[request.req] = id;
@@ -55,7 +69,7 @@
   arrival.subject = request.subject;
   arrival.rank = request.rank;
   arrival.caller = request.caller;
-  arrival.request_class = static_cast<std::uint16_t>(cls->second);
+  arrival.request_class = cls->second->place;
   events_.emplace_back(arrival);
   const auto timeout = std::chrono::duration_cast<UnixTime::duration>(request.timeout);
   arrivals_.push_back({request.arrived, request.arrived + timeout});
@@ -101,7 +115,7 @@
   events_.emplace_back(hingelink::Finished{it->first, run.outcome, run.elapsed.count()});
   switch (run.outcome) {
     case Outcome::kOk:
-      if (const auto kept = keys_.find({it->second.cls, it->second.subject});
+      if (const auto kept = keys_.find({it->second.cls->id, it->second.subject});
           kept != keys_.end() && kept->second.id == it->first) {
         kept->second.ended_well = std::chrono::steady_clock::now();
         kept->second.result = run.result;
@@ -142,7 +156,7 @@
 }
 
 void RequestTable::SendSpawn(Entry& entry) {
-  entry.mark = spawn_(entry.req, settings_.classes[entry.cls].name, entry.body);
+  entry.mark = spawn_(entry.req, entry.cls->name, entry.body);
   // One that is sent again is the same run.
   if (entry.mark != kNeverSent && entry.spawns++ == 0) metrics_.CountRun();
 }
@@ -179,8 +193,7 @@
 }
 
 bool RequestTable::Shares(const Entry& entry) const {
-  return settings_.fresh_ms > 0 && entry.subject != 0 &&
-         settings_.classes[entry.cls].repeat == hingelink::Repeat::kSafe;
+  return settings_.fresh_ms > 0 && entry.subject != 0 && entry.cls->repeat == hingelink::Repeat::kSafe;
 }
 
 const RequestTable::Kept* RequestTable::Fresh(const Key& key, SteadyTime now) const {
@@ -199,7 +212,7 @@
   const SteadyTime now = std::chrono::steady_clock::now();
   // Guards against a table that grows with every subject ever read; the module bounds those in force.
   std::erase_if(keys_, [now](const auto& kept) { return kept.second.until <= now; });
-  Kept& kept = keys_[{it->second.cls, it->second.subject}];
+  Kept& kept = keys_[{it->second.cls->id, it->second.subject}];
   if (kept.id != action.id) kept = Kept{.id = action.id, .until = {}, .ended_well = {}, .result = {}};
   kept.until = now + std::chrono::duration_cast<SteadyTime::duration>(Millis(action.ttl_ms));
 }
@@ -211,7 +224,7 @@
 void RequestTable::Do(const hingelink::Replay& action) {
   const auto it = entries_.find(action.id);
   if (it == entries_.end() || it->second.running) return;
-  const auto kept = keys_.find({it->second.cls, it->second.subject});
+  const auto kept = keys_.find({it->second.cls->id, it->second.subject});
   // Guards against an answer that no run made: the entry may have run out, or gone to a newer read, since.
   const bool good =
       kept != keys_.end() && kept->second.id == it->second.forerunner && kept->second.ended_well;
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,10 @@
 
   RequestTable(const hingelink::Settings& settings, Front& front, Metrics& metrics, Spawn spawn);
 
+  // The settings have changed: their classes hold for what comes from now on. The events must have been
+  // taken.
+  void Retune();
+
   // ---- What came; each adds what the module must know to events(). ----
   void Take(const IncomingRequest& request);
   void CallerGone(ReplyTo from);
@@ -70,10 +75,18 @@
   void AnswerAll();
 
  private:
+  // Held by each request of it, so that a dropped class goes with its last one.
+  struct Class {
+    std::string name;
+    hingelink::Repeat repeat = hingelink::Repeat::kSafe;
+    std::uint64_t id = 0;     // Never used again.
+    std::uint16_t place = 0;  // In the settings told last.
+  };
+  using ClassPtr = std::shared_ptr<const Class>;
   struct Entry {
     ReplyTo reply_to;
     std::uint64_t req = 0;
-    std::size_t cls = 0;
+    ClassPtr cls;
     std::string body;     // Held until the run is over: a lost link may have swallowed the spawn.
     bool told = false;    // To the module.
     bool waiting = true;  // An answer is owed.
@@ -90,7 +103,7 @@
     std::optional<SteadyTime> ended_well;
     std::string result;
   };
-  using Key = std::pair<std::size_t, std::uint64_t>;  // Class and subject.
+  using Key = std::pair<std::uint64_t, std::uint64_t>;  // Class id and subject.
   using Entries = std::unordered_map<hingelink::RequestId, Entry>;
   struct ReplyToHash {
     std::size_t operator()(const ReplyTo& to) const {
@@ -110,7 +123,8 @@
   Front& front_;
   Metrics& metrics_;
   Spawn spawn_;
-  std::unordered_map<std::string_view, std::size_t> classes_;
+  std::unordered_map<std::string_view, ClassPtr> classes_;  // The names lie in the classes.
+  std::uint64_t last_class_ = 0;
   hingelink::RequestId last_id_ = 0;
   Entries entries_;
   std::unordered_map<std::uint64_t, hingelink::RequestId> by_req_;
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -522,6 +522,59 @@
   assert(Has(figures, "edge_node_inflight 0"));
 }
 
+// `text` with the first `from` behind `behind` replaced.
+std::string With(std::string text, const std::string& behind, const std::string& from,
+                 const std::string& to) {
+  const std::size_t at = text.find(from, text.find(behind));
+  assert(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+// New classes at SIGHUP: taken whole or not at all, with requests open in a class that is dropped.
+void Retunes() {
+  RunningNode node;
+  PoolLink link(node.pool, 0);
+  Settle(link);
+  Gateway gateway(node.port());
+  const std::string first = node.config();
+  int failed = 0;
+  const auto read = [&](const std::string& figure, int count) {
+    while (!Has(node.Get("/ops/stats"), figure + ' ' + std::to_string(count))) {
+    }
+  };
+  const std::string lodge = "order-lodge";
+  for (const std::string& bad :
+       {std::string(), first.substr(0, first.size() - 1), With(first, lodge, ",\"worth\":5.0", ""),
+        With(first, "rules", "\"fallMs\":1500.0,", ""), With(first, "{", "\"ops\":\"127.0.0.1:0\",", ""),
+        With(first, lodge, "\"repeat\":\"unsafe\",", ""), With(first, lodge, "4900.0", "\"4900.0\""),
+        With(first, lodge, "4900.0", "null"), With(first, lodge, "4900.0", "0"),
+        With(first, lodge, "4900.0", "-1"), With(first, lodge, "4900.0", "1e999"),
+        With(first, "", lodge, "usage-view"), With(first, "specifics", "\"cpus\":1", "\"cpus\":\"1\""),
+        With(With(first, "", lodge, "order-new"), "order-new", "\"goalTimeMs\":2000.0,", "")}) {
+    node.Reload(bad);
+    read("edge_node_reconfig_failed", ++failed);
+  }
+  gateway.Write(Gateway::Request(1, kOne, "x"));
+  link.Command();
+  gateway.Write(Gateway::Request(2, kTwo, "held"));
+  gateway.Write(Gateway::Encode(6, 9, std::string(1, '\0')));
+  assert(gateway.Read().type == 7);  // Both are taken.
+  node.Reload(With(With(first, "", lodge, "order-new"), "", "usage-view", "usage-new"));
+  read("edge_node_reconfig_ok", 1);
+  gateway.Write(Gateway::Request(3, kThree, "x"));
+  gateway.ReadAnswer(3, 1);  // Of a class that is no more.
+  gateway.Write(Gateway::Request(4, kFour, "x", {{"kind", "order-new"}}));
+  link.Finish(1, kOne, "complete", "y");
+  assert(gateway.ReadAnswer(1, 0).body == "y");
+  assert(link.Command() == "spawn " + kTwo + " order-lodge 4");
+  link.Finish(2, kTwo, "complete", "z");
+  assert(gateway.ReadAnswer(2, 0).body == "z");
+  assert(link.Command() == "spawn " + kFour + " order-new 1");
+  const std::string figures = node.Get("/ops/stats");
+  assert(Has(figures, "edge_node_calls{tier=\"usage-new\",code=\"busy\"} 0"));
+  assert(Has(figures, "edge_node_calls{tier=\"order-lodge\",code=\"success\"} 2"));
+}
+
 // A folder that processes of one node share, gone at the end.
 struct SharedFolder {
   SharedFolder() { assert(mkdtemp(path.data()) != nullptr); }
@@ -630,6 +683,7 @@
       {"long-remark", LongRemark},
       {"operators", Operators},
       {"figures", Figures},
+      {"retunes", Retunes},
       {"upgrade", Upgrade},
       {"lost-successor", LostSuccessor},
   };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -100,6 +100,7 @@
   void Finish(RequestId id, Outcome outcome = Outcome::kOk, double took = 100) {
     Play({Finished{id, outcome, took}});
   }
+  void Retune(const Settings& s) { policy_.Retune(s); }
   // Fills the cores with reads 1000, 1001.
   void Fill() {
     Arrive(1000);
@@ -1442,5 +1443,79 @@
   for (const double hint : {0.0, 1e-9, 1.0, 1e12}) PlayAtTheEdge(s, hint);
 }
 
+// ---- New settings while requests are open ----
+
+// Without it an open request turns into one of the class that has its place now.
+TEST(Retune, OpenRequestsKeepTheirClassAlsoADroppedOne) {
+  Settings s = Site();
+  s.can_stop = true;
+  Host h(s);
+  h.Arrive(1);
+  h.Arrive(2);
+  h.Arrive(3);
+  Settings other = s;
+  other.classes = {{.name = "store", .aim_ms = 1000, .deadline_ms = 4000, .repeat = Repeat::kUnsafe}};
+  for (int round = 0; round < 3; ++round) h.Retune(other);
+  h.Play({CallerGone{1}, CallerGone{2}});
+  EXPECT_EQ(h.stops[1], 1);  // Still a read, whose run may be stopped.
+  h.Arrive(4);               // A store by now.
+  h.Finish(1, Outcome::kCancelled);
+  h.Finish(2, Outcome::kCancelled);
+  EXPECT_EQ(h.starts[3] + h.starts[4], 2);
+  h.Play({CallerGone{4}});
+  EXPECT_EQ(h.stops[4], 0);
+  h.Arrive(5, kOnce);  // No such place any more.
+  EXPECT_EQ(h.starts[5] + h.refusals[5], 0);
+  h.Retune(s);
+  h.Finish(4);
+  h.Finish(3);
+  h.Arrive(6, kOnce);
+  EXPECT_EQ(h.starts[6], 1);
+}
+
+// Without it each retune forgets how long runs take, and good requests are turned away.
+TEST(Retune, WhatWasLearnedStaysWithTheName) {
+  const auto refused = [](const char* name) {
+    Host h;
+    for (RequestId id = 1; id <= 60; ++id) {
+      h.Arrive(id);
+      h.now += 20;
+      h.Finish(id, Outcome::kOk, 20);
+    }
+    Settings s = Site();
+    std::swap(s.classes.front(), s.classes.back());
+    s.classes.back().name = name;
+    h.Retune(s);
+    int count = 0;
+    for (RequestId id = 100; id < 120; ++id) h.Arrive(id, kOnce);  // The place of the reads by now.
+    for (const auto& [id, times] : h.refusals) count += times;
+    return count;
+  };
+  EXPECT_EQ(refused("read"), 0);
+  EXPECT_GT(refused("look"), 0);
+}
+
+TEST(Retune, BadSettingsChangeNothing) {
+  Host h;
+  Settings s = Site();
+  s.classes.resize(1);
+  s.classes[0].deadline_ms = 0;
+  EXPECT_THROW(h.Retune(s), std::invalid_argument);
+  h.Arrive(1, kOnce);
+  EXPECT_EQ(h.starts[1], 1);
+}
+
+// Without it two processes that take over from each other each fill the cores and the memory.
+TEST(OtherProcess, ItsRunsAndBytesCountInTheLimits) {
+  Host h;
+  h.Play({OtherLoad{{.running = 2, .kb = 0, .work_ms = 0}}});
+  h.Arrive(1);
+  EXPECT_EQ(h.starts[1], 0);
+  h.Play({OtherLoad{{.running = 1, .kb = 9990, .work_ms = 0}}});
+  EXPECT_EQ(h.starts[1], 0);
+  h.Play({OtherLoad{}});
+  EXPECT_EQ(h.starts[1], 1);
+}
+
 }  // namespace
 }  // namespace hingelink
