Give up a frame when no byte of it comes, not by its age, so that slow clients stay

Seen: story slow-clients fails on the old code: a frame in pieces a second apart, or a pause of 3 s in one, ends a good connection as 'unfinished' (kFrameLooks, src/net/gateway_front.cpp). Ruled out: one longer deadline for all (see docs/parts.md). Stories: slow-clients, half-frames; the latter checked against a build without the room.

--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -29,7 +29,11 @@
 constexpr std::size_t kUnsentMost = 160 * 1024;
 // Slow peers are given up by looks, not by the clock: a pause of the whole machine then counts as one look.
 constexpr auto kLook = 250ms;
-constexpr int kFrameLooks = 6;    // For a whole frame, from the accept or from the frame's first byte.
+// With no byte of a frame that has begun, or that is awaited from the accept on: a bad client is owed its end
+// within 3 s. On a connection that has sent whole frames; and for a whole frame, however steadily it comes.
+constexpr int kQuietLooks = 9, kQuietLooksUsed = 20, kFrameLooks = 40;
+// In its first frame, after which a connection makes room at the limit.
+constexpr int kRoomLooks = 4;
 constexpr int kFaultLooks = 4;    // From a framing fault, for the peer to take the error and close.
 constexpr int kStalledLooks = 8;  // With unsent bytes of which the peer takes none.
 // Bytes read and let go behind a framing fault, so that closing does not destroy the error on its way.
@@ -105,9 +109,11 @@
   bool LessUsefulThan(const Connection& other) const {
     return std::make_pair(use_, last_used_) < std::make_pair(other.use_, other.last_used_);
   }
-  // Whether nothing is lost with it: nothing is open, and nothing that it sent lies unread.
+  // Whether nothing is lost with it: nothing is open, and nothing that it sent lies unread. Also one that has
+  // stood in its first frame for a while: guards against half frames that take all descriptors.
   bool Spare() const {
     int unread = 0;
+    if (idle() && use_ == Use::kNone && frame_looks_ >= kRoomLooks) return true;
     return idle() && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
            ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &unread) == 0 && unread == 0;
   }
@@ -122,7 +128,9 @@
     if (stalled_looks_ > kStalledLooks) return EndReason::kSlowReader;
     const bool in_frame = skip_ > 0 || evbuffer_get_length(bufferevent_get_input(bev_.get())) > 0;
     if (reading_paused_ || (use_ != Use::kNone && !in_frame)) return std::nullopt;
-    if (++frame_looks_ <= kFrameLooks) return std::nullopt;
+    // Bytes that come count for more than time. Guards good clients on a slow line, or that pause.
+    const bool quiet = ++quiet_looks_ > (use_ == Use::kNone ? kQuietLooks : kQuietLooksUsed);
+    if (++frame_looks_ <= kFrameLooks && !quiet) return std::nullopt;
     return in_frame ? EndReason::kUnfinished : EndReason::kSilent;
   }
 
@@ -151,6 +159,7 @@
       return;
     }
     last_used_ = Steady::now();
+    quiet_looks_ = 0;
     const std::string_view all = Arrived(bev_.get());
     std::size_t done = 0;
     while (!ending_ && !reading_paused_ && !given_up_) {
@@ -310,7 +319,7 @@
   std::uint64_t written_ = 0;  // Bytes of answers in all, and how many the peer had taken at the last look.
   std::uint64_t taken_ = 0;
   int malformed_ = 0;
-  int frame_looks_ = 0, fault_looks_ = 0, stalled_looks_ = 0;
+  int frame_looks_ = 0, quiet_looks_ = 0, fault_looks_ = 0, stalled_looks_ = 0;
   Use use_ = Use::kNone;
   const char* fault_ = nullptr;
   bool ending_ = false;
