Behind a handover end quiet connections, and let new clients wait for room

The logs have 2824 'at-limit' ends, and predecessors that stood until their kill with 455 connections: clients that ask once and never close kept the descriptors, so the successor's share of the limit was 1 (Node::SeeOthers). Ruled out: the listening socket and its queue (upgrade alone: 0 at the door), the load of bad clients (rude+wide without an upgrade: 1.00), CPU. Lines at fault: Node::HandOver, which left the close to the gateways, and GatewayFront::Accept, which closed what came while the predecessor's share was about to fall. Story: crowded-upgrade; it fails where the successor does not wait. A forked node now ends with its story.

--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -39,6 +39,12 @@
 // Bytes read and let go behind a framing fault, so that closing does not destroy the error on its way.
 constexpr std::size_t kLetGo = 4 << 20;
 constexpr auto kListenAgain = 50ms;
+// Between looks whether there is room again for what waits in the queue.
+constexpr auto kRoomLook = 20ms;
+// Without a byte either way behind the wish for no more, after which a connection is ended. Twice the time
+// within which a request that crosses the close is sent again.
+constexpr auto kQuiet = 100ms;
+constexpr auto kQuietSweep = 25ms;
 constexpr int kBacklog = 1024;
 
 }  // namespace
@@ -65,6 +71,8 @@
       return "at-limit";
     case EndReason::kDrained:
       return "drained";
+    case EndReason::kHandedOver:
+      return "handed-over";
     case EndReason::kShutdown:
       return "shutdown";
   }
@@ -336,10 +344,12 @@
       most_connections_(most_connections),
       listen_again_(base,
                     [this] {
-                      if (listener_ && !paused_) evconnlistener_enable(listener_.get());
+                      if (listener_ && !paused_ && !awaiting_room_) evconnlistener_enable(listener_.get());
                     }),
       idle_sweep_(base, [this] { SweepIdle(); }),
-      look_(base, [this] { Look(); }) {
+      look_(base, [this] { Look(); }),
+      room_(base, [this] { AwaitRoom(); }),
+      quiet_sweep_(base, [this] { CloseQuiet(); }) {
   look_.After(kLook);
   const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
     static_cast<GatewayFront*>(self)->Accept(fd);
@@ -382,6 +392,41 @@
     return;
   }
   connections_.emplace(id, std::make_unique<Connection>(*this, id, fd));
+  if (shared_ && connections_.size() >= most_connections_) {
+    evconnlistener_disable(listener_.get());
+    awaiting_room_ = true;
+    room_.After(kRoomLook);
+  }
+}
+
+// Guards clients that come while a predecessor still holds most descriptors: they wait in the queue for a
+// moment, where they would be turned away at the limit.
+void GatewayFront::AwaitRoom() {
+  if (!awaiting_room_) return;
+  awaiting_room_ = shared_ && connections_.size() >= most_connections_ && !MakeRoom();
+  if (awaiting_room_) {
+    room_.After(kRoomLook);
+  } else if (listener_ && !paused_) {
+    evconnlistener_enable(listener_.get());
+  }
+}
+
+void GatewayFront::SetMostConnections(std::size_t most, bool shared) {
+  most_connections_ = most;
+  shared_ = shared;
+  AwaitRoom();
+}
+
+// Guards against connections of clients that never close: they would hold descriptors that the successor
+// needs, and this process for as long as it may live.
+void GatewayFront::CloseQuiet() {
+  const Steady::time_point limit = Steady::now() - kQuiet;
+  std::vector<std::uint64_t> quiet;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->last_used() < limit && connection->Spare()) quiet.push_back(id);
+  }
+  for (const std::uint64_t id : quiet) End(id, EndReason::kHandedOver);
+  quiet_sweep_.After(kQuietSweep);
 }
 
 // Guards against peers that take up all connections and ask nothing, so that no gateway gets one.
@@ -453,7 +498,8 @@
 
 void GatewayFront::ResumeListening() {
   paused_ = asked_for_no_more_ = false;
-  evconnlistener_enable(listener_.get());
+  quiet_sweep_.Stop();
+  if (!awaiting_room_) evconnlistener_enable(listener_.get());
 }
 
 void GatewayFront::StopListening() {
--- a/src/net/gateway_front.h
+++ b/src/net/gateway_front.h
@@ -29,6 +29,7 @@
   kMadeRoom,
   kAtLimit,
   kDrained,
+  kHandedOver,
   kShutdown
 };
 const char* ReasonCode(EndReason reason);
@@ -48,10 +49,13 @@
 
   // Asks for no new request on any connection that stands and has not been asked.
   void AskForNoMore();
-  void SetMostConnections(std::size_t most) { most_connections_ = most; }
+  // `shared`: another process holds descriptors out of the same limit, and will let go of them.
+  void SetMostConnections(std::size_t most, bool shared);
   // Accepts no more for the time being; what waits in the queue is another process's.
   void PauseListening();
   void ResumeListening();
+  // From now on, until ResumeListening(): ends connections that have been asked for no more and are quiet.
+  void CloseQuiet();
   evutil_socket_t listener() const { return evconnlistener_get_fd(listener_.get()); }
   // Takes in what the kernel has accepted already, and then listens no more.
   void StopListening();
@@ -72,6 +76,7 @@
   void SweepIdle();
   void Look();
   bool MakeRoom();
+  void AwaitRoom();
 
   event_base* base_;
   node::FrontEvents events_;
@@ -80,10 +85,14 @@
   Timer listen_again_;
   Timer idle_sweep_;
   Timer look_;
+  Timer room_;
+  Timer quiet_sweep_;
   std::chrono::milliseconds idle_after_{0};
   bool healthy_ = true;
   bool asked_for_no_more_ = false;
   bool paused_ = false;
+  bool shared_ = false;
+  bool awaiting_room_ = false;
   std::optional<double> signal_;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -228,7 +228,7 @@
   const auto taken =
       static_cast<std::size_t>(kReserved) * (1 + handover_.others()) + handover_.others_load().connections;
   const auto sockets = static_cast<std::size_t>(config_.sockets);
-  front_.SetMostConnections(sockets > taken ? sockets - taken : 1);
+  front_.SetMostConnections(sockets > taken ? sockets - taken : 1, handover_.has_others());
 }
 
 void Node::TellOthers() {
@@ -244,6 +244,7 @@
   listening_ = false;
   front_.PauseListening();
   front_.AskForNoMore();
+  front_.CloseQuiet();
 }
 
 // Guards against a successor that dies: its clients are served by this process again.
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -672,6 +672,35 @@
   assert(next.Read().type == 9);
 }
 
+// A predecessor that holds most descriptors with clients that never close: it lets go of them, and who comes
+// to the successor meanwhile waits and is not turned away.
+void CrowdedUpgrade() {
+  const SharedFolder folder;
+  ForkedNode old(folder.path, 80);
+  PoolLink old_link(old.pool, 0);
+  Settle(old_link);
+  std::vector<Gateway> stay;
+  for (int i = 0; i < 40; ++i) {
+    stay.emplace_back(old.port);
+    stay.back().Write(kCheck);
+    assert(stay.back().Read().type == 7);
+  }
+  for (int polls = 0; polls < 3; ++polls) old_link.AnswerPoll(old_link.Line());
+  ForkedNode fresh(folder.path, 80);
+  PoolLink link(fresh.pool, 0);
+  for (int polls = 0; polls < 3; ++polls) old_link.AnswerPoll(old_link.Line());  // It has told of them.
+  Settle(link);
+  for (Gateway& gateway : stay) assert(gateway.Read().type == 9);
+  std::vector<Gateway> next;
+  for (int i = 0; i < 10; ++i) {
+    next.emplace_back(fresh.port);
+    next.back().Write(kCheck);
+  }
+  for (Gateway& gateway : next) assert(gateway.Read().type == 7);
+  for (Gateway& gateway : stay) assert(gateway.socket().Finished());
+  assert(old.Wait() == 0);
+}
+
 // A successor that dies gives the clients back; a process that dies leaves a file that stops no other.
 void LostSuccessor() {
   const SharedFolder folder;
@@ -732,6 +761,7 @@
       {"figures", Figures},
       {"retunes", Retunes},
       {"upgrade", Upgrade},
+      {"crowded-upgrade", CrowdedUpgrade},
       {"lost-successor", LostSuccessor},
   };
   for (const auto& [name, story] : stories) {
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -6,6 +6,7 @@
 #undef NDEBUG  // The asserts are the tests: they stay live in every build.
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -300,14 +301,15 @@
 // A node in a process of its own, which takes over from those that share the folder.
 class ForkedNode {
  public:
-  explicit ForkedNode(const std::string& folder) {
+  explicit ForkedNode(const std::string& folder, int sockets = 1024) {
     int ends[2];
     assert(pipe(ends) == 0);
     pid_ = fork();
     assert(pid_ >= 0);
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // Guards against a node that outlives a story that failed.
       {
-        const std::string json = RunningNode::Json(pool, registry, 600, 1024);
+        const std::string json = RunningNode::Json(pool, registry, 600, sockets);
         const auto config = [&json] { return hingelink::node::ParseConfig(json); };
         hingelink::node::Node node(config(), config, folder);
         const std::uint16_t ports[] = {node.port(), node.ops_port()};
