--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -40,39 +40,44 @@
   return Descriptor(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | flags, 0));
 }
 
-// Sends the first line, with the listening socket.
-bool SendListener(evutil_socket_t to, evutil_socket_t listener) {
-  iovec text{const_cast<char*>(proto::kHandoverListener.data()), proto::kHandoverListener.size()};
+// A message of one line that carries one descriptor. Not to be moved: it points into itself.
+struct LineWithSocket {
+  char line[proto::kHandoverListener.size()];
+  iovec text{line, sizeof line};
   alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
   msghdr message{};
-  message.msg_iov = &text;
-  message.msg_iovlen = 1;
-  message.msg_control = control;
-  message.msg_controllen = sizeof control;
-  cmsghdr* head = CMSG_FIRSTHDR(&message);
+
+  LineWithSocket() {
+    message.msg_iov = &text;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+  }
+  LineWithSocket(const LineWithSocket&) = delete;
+  LineWithSocket& operator=(const LineWithSocket&) = delete;
+};
+
+// Sends the first line, with the listening socket.
+bool SendListener(evutil_socket_t to, evutil_socket_t listener) {
+  LineWithSocket out;
+  std::memcpy(out.line, proto::kHandoverListener.data(), sizeof out.line);
+  cmsghdr* head = CMSG_FIRSTHDR(&out.message);
   head->cmsg_level = SOL_SOCKET;
   head->cmsg_type = SCM_RIGHTS;
   head->cmsg_len = CMSG_LEN(sizeof(int));
   std::memcpy(CMSG_DATA(head), &listener, sizeof listener);
-  return sendmsg(to, &message, MSG_NOSIGNAL) == static_cast<ssize_t>(proto::kHandoverListener.size());
+  return sendmsg(to, &out.message, MSG_NOSIGNAL) == static_cast<ssize_t>(sizeof out.line);
 }
 
 Descriptor ReceiveListener(evutil_socket_t from) {
-  char line[proto::kHandoverListener.size()];
-  iovec text{line, sizeof line};
-  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
-  msghdr message{};
-  message.msg_iov = &text;
-  message.msg_iovlen = 1;
-  message.msg_control = control;
-  message.msg_controllen = sizeof control;
-  const ssize_t got = recvmsg(from, &message, MSG_CMSG_CLOEXEC | MSG_WAITALL);
-  const cmsghdr* head = got > 0 ? CMSG_FIRSTHDR(&message) : nullptr;
+  LineWithSocket in;
+  const ssize_t got = recvmsg(from, &in.message, MSG_CMSG_CLOEXEC | MSG_WAITALL);
+  const cmsghdr* head = got > 0 ? CMSG_FIRSTHDR(&in.message) : nullptr;
   if (head == nullptr || head->cmsg_type != SCM_RIGHTS) return Descriptor();
   int fd = -1;
   std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
   Descriptor listener(fd);
-  const bool whole = std::string_view(line, static_cast<std::size_t>(got)) == proto::kHandoverListener;
+  const bool whole = std::string_view(in.line, static_cast<std::size_t>(got)) == proto::kHandoverListener;
   return whole ? std::move(listener) : Descriptor();
 }
 
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -628,6 +628,15 @@
   std::string path = (std::filesystem::temp_directory_path() / "hingelink-XXXXXX").string();
 };
 
+// A gateway whose request runs on the node.
+Gateway Begin(const ForkedNode& node, PoolLink& link) {
+  Settle(link);
+  Gateway gateway(node.port);
+  gateway.Write(Gateway::Request(1, kOne, "x"));
+  link.Command();
+  return gateway;
+}
+
 // An upgrade: the predecessor serves until the successor's pool is bound, then asks for no more, answers all
 // that is in hand or crosses, and ends by itself. What waits in the queue is the successor's, SIGTERM is no
 // drain, and the limit on runs holds for both together.
@@ -635,10 +644,7 @@
   const SharedFolder folder;
   ForkedNode old(folder.path);
   PoolLink old_link(old.pool, 0);
-  Settle(old_link);
-  Gateway gateway(old.port);
-  gateway.Write(Gateway::Request(1, kOne, "x"));
-  old_link.Command();
+  Gateway gateway = Begin(old, old_link);
   ForkedNode fresh(folder.path);
   assert(fresh.port == old.port && !fresh.Ready() && old.Ready());
   PoolLink link(fresh.pool, 0);
@@ -707,10 +713,7 @@
   const SharedFolder folder;
   ForkedNode old(folder.path);
   PoolLink old_link(old.pool, 0);
-  Settle(old_link);
-  Gateway gateway(old.port);
-  gateway.Write(Gateway::Request(1, kOne, "x"));
-  old_link.Command();
+  Gateway gateway = Begin(old, old_link);
   {
     ForkedNode early(folder.path);
     early.End(SIGKILL);  // Before it took any client.
