Show what a successor takes over from a real node, and threads and pins of the file

Need: the handover of learned values was tested between two ends of the channel, not with a node on one side; and nothing showed that an appliance's "threads" and "pin" reach the process.

Change: KeeperTest has a node that tells its successor, and one that begins with its predecessor's word rather than with the folder's; the writer that waits for another process's lock goes on behind the newest entry. AppliancePins counts loops of the started process.

--- a/tests/appliance/appliance_test.cpp
+++ b/tests/appliance/appliance_test.cpp
@@ -131,6 +131,27 @@
   EXPECT_TRUE(taken);
 }
 
+TEST(Appliance, TheNodeIsStartedWithTheThreadsAndPinsOfTheFile) {
+  Rig rig;
+  rig.config["threads"] = 3;
+  rig.config["pin"] = true;
+  rig.config["learned"] = false;
+  rig.WriteConfig();
+  rig.StartSupervisor(false);
+  ASSERT_TRUE(rig.AwaitReady());
+  const std::string pid = std::to_string(rig.NodePid());
+  EXPECT_EQ(rig::ProcessesWith({"serve", rig.folder(), "--threads", "--pin"}).size(), 1u);
+  EXPECT_TRUE(rig::ProcessesWith({"serve", rig.folder(), "--learned"}).empty());
+  std::size_t threads = 0;
+  for (const auto& task : std::filesystem::directory_iterator("/proc/" + pid + "/task")) {
+    std::ifstream file(task.path() / "comm");
+    std::string comm;
+    std::getline(file, comm);
+    threads += comm.starts_with("loop-") ? 1 : 0;
+  }
+  EXPECT_EQ(threads, 2u);
+}
+
 TEST(Appliance, ANodeKilledInItsDrainStaysAway) {
   Rig rig;
   rig.StartSupervisor(false);
--- a/tests/background/keeper_test.cpp
+++ b/tests/background/keeper_test.cpp
@@ -3,13 +3,16 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 
 #include "../gate.h"
 #include "../scripted_peers.h"
 #include "log/log.h"
+#include "net/handover.h"
 #include "recording_disk.h"
+#include "standin/host.h"
 
 namespace hingelink::background {
 namespace {
@@ -28,12 +31,13 @@
   const auto end = net::Steady::now() + 40s;
   while (!until() && net::Steady::now() < end) event_base_loop(base, EVLOOP_ONCE);
 }
-bool Said(const std::string& what) {
-  for (const std::string& line : log::Recent()) {
-    if (line.find(what) != std::string::npos) return true;
-  }
-  return false;
+// Since the start of the process: other tests may have said it, too, where several run in one.
+std::ptrdiff_t TimesSaid(const std::string& what) {
+  const std::vector<std::string> lines = log::Recent();
+  return std::count_if(lines.begin(), lines.end(),
+                       [&what](const std::string& line) { return line.find(what) != std::string::npos; });
 }
+bool Said(const std::string& what) { return TimesSaid(what) > 0; }
 
 class Loop : public testing::Test {
  protected:
@@ -109,8 +113,10 @@
 // A node on scripted peers whose files are on the disk given.
 class Life {
  public:
-  Life(state::Files& files, const std::string& folder)
-      : node_(node::ParseConfig(json_), [this] { return node::ParseConfig(json_); }, {}),
+  // `shared`: where processes of this node take over from each other; empty: none does.
+  Life(state::Files& files, const std::string& folder, const std::string& shared = {})
+      : node_(
+            node::ParseConfig(json_), [this] { return node::ParseConfig(json_); }, shared),
         keeper_(node_, files, {.folder = folder, .record_each = 20ms}),
         thread_([this] {
           node_.Run();
@@ -119,10 +125,17 @@
         link_(pool_, 0) {
     link_.Bound();
   }
-  ~Life() {
+  ~Life() { End(); }
+  void End() {
+    if (!thread_.joinable()) return;
     assert(kill(getpid(), SIGTERM) == 0);
     thread_.join();
   }
+  // Once it has ended: what its module knew.
+  Learned Knew() {
+    End();
+    return node_.Tell();
+  }
   std::string Figures() const { return peers::Get(node_.ops_port(), "/ops/stats"); }
   void Serve(int count) {
     Gateway gateway(node_.port());
@@ -207,15 +220,98 @@
   state::RecordingDisk disk;
   state::LearnedStore other(disk, folder);
   {
+    const std::ptrdiff_t failures = TimesSaid("background-failed");
     auto held = state::FolderLock::Take(folder + "/learned.lock");
     ASSERT_TRUE(held);
-    Life(disk, folder).Serve(20);
+    { Life(disk, folder).Serve(20); }
     EXPECT_FALSE(other.Load().stored);
+    // To wait for the other is no failure.
+    EXPECT_EQ(TimesSaid("background-failed"), failures);
+    // The next one begins, and then the other, which still has the lock, writes for the last time.
+    Life next(disk, folder);
+    other.Save({500, decide::Remember("n3", 0ms, {}, {})});
+    held.reset();
+    next.Serve(20);
   }
-  { Life(disk, folder).Serve(20); }
-  EXPECT_TRUE(other.Load().stored);
+  const state::FoundLearned found = other.Load();
+  ASSERT_TRUE(found.stored);
+  EXPECT_GT(found.stored->sequence, 500u);
+  EXPECT_EQ(found.stored->remembered.learned.classes.size(), 1u);
   std::filesystem::remove_all(folder);
 }
 
+// ---- Over the handover channel, with a real node on one side of it ----
+
+class HandoverOfLearned : public KeeperTest {
+ protected:
+  HandoverOfLearned() {
+    char name[] = "/tmp/hingelink.handover.XXXXXX";
+    folder = mkdtemp(name);
+    std::filesystem::create_directory(folder + "/state");
+  }
+  ~HandoverOfLearned() override { std::filesystem::remove_all(folder); }
+  static net::Handover::Events Deaf() {
+    return {.successor_ready = [] {},
+            .successor_lost = [] {},
+            .load = [] {},
+            .learned = [] { return std::vector<proto::LearnedLine>(); },
+            .predecessor_learned = [](const proto::LearnedLine&) {}};
+  }
+
+  std::string folder;
+  state::RecordingDisk disk;
+};
+
+TEST_F(HandoverOfLearned, ANodeTellsItsSuccessorWhatItHasLearned) {
+  Life predecessor(disk, folder + "/state", folder);
+  predecessor.Serve(40);
+  std::vector<proto::LearnedLine> heard;
+  net::Handover::Events events = Deaf();
+  events.predecessor_learned = [&heard](const proto::LearnedLine& line) { heard.push_back(line); };
+  net::Handover successor(base.get(), folder, std::move(events));
+  ASSERT_GE(successor.TakeListener().get(), 0);
+  Turn(base.get(), [&] { return !heard.empty(); });
+  ASSERT_EQ(heard.size(), 1u);
+  EXPECT_EQ(heard[0].name, "order-lodge");
+  EXPECT_EQ(heard[0].deadline, 4900);
+  EXPECT_EQ(heard[0].samples, 41);
+}
+
+TEST_F(HandoverOfLearned, ANodeBeginsWithWhatItsPredecessorKnowsRatherThanTheFolder) {
+  node::Config told = node::ParseConfig(peers::RunningNode::Json({}, {}, 600, 1024));
+  const auto known = [](double run) {
+    Learned learned;
+    learned.classes = {{"order-lodge", run, run, 300, 100}};
+    return learned;
+  };
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  state::LearnedStore(disk, folder + "/state")
+      .Save({1, decide::Remember("n3", now, told.settings, known(111))});
+  // The predecessor: its listener, and then its lines, one of them of a class that was told otherwise.
+  const net::Descriptor listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  ASSERT_EQ(listen(listener.get(), 8), 0);
+  standin::Host host;
+  std::optional<net::Handover> predecessor;
+  host.Do([&] {
+    net::Handover::Events events = Deaf();
+    events.learned = [] {
+      return std::vector<proto::LearnedLine>{{"order-lodge", 2000, 4900, 222, 222, 300, 100},
+                                             {"usage-view", 1500, 9999, 333, 333, 300, 100}};
+    };
+    predecessor.emplace(host.base(), folder, std::move(events));
+    predecessor->Offer(listener.get());
+  });
+  {
+    Life successor(disk, folder + "/state", folder);
+    const Learned knew = successor.Knew();
+    ASSERT_EQ(knew.classes.size(), 1u);
+    EXPECT_EQ(knew.classes[0].name, "order-lodge");
+    EXPECT_EQ(knew.classes[0].run_ms, 222);
+    EXPECT_EQ(knew.classes[0].samples, 12);
+  }
+  host.Do([&] { predecessor.reset(); });
+}
+
 }  // namespace
 }  // namespace hingelink::background
