--- a/src/appliance/config.cpp
+++ b/src/appliance/config.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <filesystem>
 #include <set>
 
 #include "net/event.h"
+#include "net/peers.h"
 #include "node/config.h"
 #include "schema/schema.h"
 #include "state/files.h"
@@ -80,6 +82,7 @@
   config.threads = json.value("threads", config.threads);
   config.pin = json.value("pin", config.pin);
   config.learned = json.value("learned", config.learned);
+  config.peers = json.value("peers", Json());
   const Json log = json.value("log", Json::object());
   config.log_format = log.value("format", config.log_format);
   config.log_level = log.value("level", config.log_level);
@@ -115,6 +118,12 @@
   CheckAddresses(config.ops, "/node/ops", true, faults);
   CheckAddresses({config.node["listen"].get<std::string>()}, "/node/listen", false, faults);
   CheckAddresses({config.node["registry"].get<std::string>()}, "/node/registry", false, faults);
+  if (config.peers.is_object()) {
+    CheckAddresses({config.peers["listen"].get<std::string>()}, "/peers/listen", false, faults);
+    if (config.peers.contains("advertise"))
+      CheckAddresses({config.peers["advertise"].get<std::string>()}, "/peers/advertise", false, faults);
+    CheckAddresses(List(config.peers.value("seeds", Json::array())), "/peers/seeds", true, faults);
+  }
   try {
     if (faults.empty()) node::ParseConfig(config.NodeJson(0, 1));
   } catch (const std::exception& fault) {
@@ -127,7 +136,19 @@
 Config ReadConfig(const std::string& path) {
   const auto text = state::SystemFiles().Read(path);
   if (!text) throw ConfigError({path + ": there is no such file"});
-  return ParseConfig(*text);
+  Config config = ParseConfig(*text);
+  if (config.peers.is_object()) {
+    // As other files that it names: from where it lies.
+    const std::filesystem::path keys =
+        std::filesystem::absolute(path).parent_path() / config.peers["keys"].get<std::string>();
+    config.peers["keys"] = keys.string();
+    try {
+      net::ReadPeerKeys(keys);
+    } catch (const std::exception& fault) {
+      throw ConfigError({std::string("/peers/keys: ") + fault.what()});
+    }
+  }
+  return config;
 }
 
 }  // namespace hingelink::appliance
--- a/src/appliance/config.h
+++ b/src/appliance/config.h
@@ -29,6 +29,7 @@
   std::size_t threads = 1;        // Of each node, in all.
   bool pin = false;               // Each thread to a core of its own.
   bool learned = true;            // What a node learns is kept for the next one.
+  nlohmann::ordered_json peers;   // By deploy/schema/peers.json; null where the node joins nobody.
   std::string log_format = "text", log_level = "info";
   std::size_t log_bytes = 1 << 20, log_keep = 5;
   decide::Limits limits;
--- a/src/appliance/supervisor.cpp
+++ b/src/appliance/supervisor.cpp
@@ -349,6 +349,10 @@
   std::uint64_t seed = options_.seed + generation * 0x9e3779b97f4a7c15u;
   state::WriteWhole(state::SystemFiles(), options_.folder, "node-" + std::to_string(generation) + ".json",
                     config_.NodeJson(generation, seed));
+  if (config_.peers.is_object()) {
+    state::WriteWhole(state::SystemFiles(), options_.folder, "peers-" + std::to_string(generation) + ".json",
+                      config_.peers.dump(2) + '\n');
+  }
 }
 
 void Supervisor::StartProcess(std::uint64_t generation) {
@@ -384,6 +388,7 @@
     // A program from before there were threads is started as it always was.
     if (config_.threads > 1) args.insert(args.end(), {"--threads", std::to_string(config_.threads)});
     if (config_.pin) args.push_back("--pin");
+    if (config_.peers.is_object()) args.insert(args.end(), {"--peers", Path("peers-" + number + ".json")});
     if (config_.learned) args.insert(args.end(), {"--learned", Path("learned")});
     waiting_ = std::make_unique<WaitingProcess>(options_.program, std::move(args),
                                                 std::map<std::string, std::string>{{"TMPDIR", Path("run")}},
@@ -421,6 +426,7 @@
   std::filesystem::remove(SocketOf(generation), ignored);
   std::filesystem::remove(SocketOf(generation) + ".ended", ignored);
   std::filesystem::remove(Path("node-" + std::to_string(generation) + ".json"), ignored);
+  std::filesystem::remove(Path("peers-" + std::to_string(generation) + ".json"), ignored);
   Take(decide::Gone{generation, clean});
 }
 
--- a/src/appliance/supervisor.h
+++ b/src/appliance/supervisor.h
@@ -4,6 +4,7 @@
 //   lock                held as long as a supervisor lives
 //   plan.json           what lasts (state/plan_store.h)
 //   node-N.json         the configuration of start N
+//   peers-N.json        how it joins the other nodes; only where the appliance's file says so
 //   node-N.sock         the control socket of start N
 //   node-N.sock.ended   left by a node that has ended well
 //   control.sock        leads to the socket of the node that serves
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -18,6 +18,7 @@
 void AddDemo(CLI::App& app, int& status);
 void AddState(CLI::App& app, int& status);
 void AddBackground(CLI::App& app, int& status);
+void AddFleet(CLI::App& app, int& status);
 void AddCompletion(CLI::App& app);
 
 }  // namespace hingelink::cli
--- a/src/cli/control_of_node.cpp
+++ b/src/cli/control_of_node.cpp
@@ -1,9 +1,11 @@
 #include "cli/control_of_node.h"
 
+#include <arpa/inet.h>
 #include <unistd.h>
 
 #include "background/keeper.h"
 #include "control/server.h"
+#include "fleet/fleet.h"
 #include "log/log.h"
 
 namespace hingelink::cli {
@@ -13,10 +15,13 @@
 
 class Control : public ControlOfNode {
  public:
-  Control(node::Node& node, const std::string& path, std::uint64_t generation, const StateOfNode* state)
+  Control(node::Node& node, const std::string& path, std::uint64_t generation, const StateOfNode* state,
+          const FleetOfNode* fleet)
       : server_(node.base(), {.path = path},
-                [&node, generation] {
-                  return control::SnapshotJson(node.See(), {HINGELINK_VERSION, getpid(), generation});
+                [&node, generation, fleet] {
+                  Json json = control::SnapshotJson(node.See(), {HINGELINK_VERSION, getpid(), generation});
+                  if (fleet != nullptr) json["fleet"] = Json::parse(fleet->Short());
+                  return json;
                 },
                 {{"drain",
                   [&node](const nlohmann::json&) {
@@ -53,6 +58,14 @@
                   [state](const nlohmann::json&) {
                     return Json{{"jobs", state == nullptr ? Json::array() : Json::parse(state->Jobs())}};
                   }},
+                 {"members",
+                  [fleet](const nlohmann::json&) {
+                    if (fleet == nullptr)
+                      throw control::Fault("no-fleet",
+                                           "this node was started without peers; name them in the "
+                                           "appliance's file, or with serve --peers");
+                    return Json::parse(fleet->Members());
+                  }},
                  {"version", [](const nlohmann::json&) {
                     return Json{{"version", HINGELINK_VERSION}, {"control", control::kVersion}};
                   }}}) {}
@@ -89,11 +102,78 @@
   background::Keeper keeper_;
 };
 
+class MembersOfFleet : public FleetOfNode {
+ public:
+  MembersOfFleet(node::Node& node, const std::string& path)
+      : fleet_(node, [path] { return fleet::ReadFleetConfig(path); }) {}
+  void Finish() override { fleet_.Finish(); }
+  std::string Members() const override {
+    const fleet::Fleet::Seen seen = fleet_.Look();
+    Json json = {{"self", RecordJson(seen.self)},
+                 {"linked", seen.linked},
+                 {"cut_off", seen.cut_off},
+                 {"health", seen.health}};
+    json["members"] = Json::array();
+    for (const auto& other : seen.others) {
+      Json member = RecordJson(other.record);
+      member["state"] = decide::BeliefName(other.record.belief);
+      member["held"] = other.held;
+      if (other.heard.count() >= 0) member["heard_ms"] = std::llround(other.heard.count());
+      if (!other.record.by.empty()) member["by"] = log::Printable(other.record.by);
+      json["members"].push_back(std::move(member));
+    }
+    json["counts"] = {{"suspicions", seen.counts.suspicions},
+                      {"withdrawn", seen.counts.withdrawn},
+                      {"gone", seen.counts.gone},
+                      {"returned", seen.counts.returned},
+                      {"refuted", seen.counts.refuted},
+                      {"thaws", seen.counts.thaws}};
+    json["link"] = {{"sent", seen.link.sent},         {"sent_bytes", seen.link.sent_bytes},
+                    {"received", seen.link.received}, {"received_bytes", seen.link.received_bytes},
+                    {"not_ours", seen.link.not_ours}, {"wrong_key", seen.link.wrong_key},
+                    {"again", seen.link.again},       {"unsent", seen.link.unsent}};
+    return json.dump();
+  }
+  std::string Short() const override {
+    const fleet::Fleet::Seen seen = fleet_.Look();
+    std::size_t by_state[3] = {1, 0, 0};
+    for (const auto& other : seen.others) ++by_state[static_cast<std::size_t>(other.record.belief)];
+    return Json{{"alive", by_state[0]},
+                {"suspect", by_state[1]},
+                {"gone", by_state[2]},
+                {"cut_off", seen.cut_off},
+                {"linked", seen.linked}}
+        .dump();
+  }
+
+ private:
+  static Json RecordJson(const decide::MemberRecord& record) {
+    const in_addr ip{htonl(record.address.ip)};
+    char text[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &ip, text, sizeof text);
+    // Names come from other processes, and end on terminals.
+    return {{"name", log::Printable(record.name)},
+            {"address", std::string(text) + ':' + std::to_string(record.address.port)},
+            {"life", record.version.life},
+            {"incarnation", record.version.incarnation},
+            {"phase", decide::MemberPhaseName(record.phase)},
+            {"zone", log::Printable(record.zone)},
+            {"weight", record.weight}};
+  }
+
+  fleet::Fleet fleet_;
+};
+
 }  // namespace
 
 std::unique_ptr<ControlOfNode> MakeControl(node::Node& node, const std::string& path,
-                                           std::uint64_t generation, const StateOfNode* state) {
-  return std::make_unique<Control>(node, path, generation, state);
+                                           std::uint64_t generation, const StateOfNode* state,
+                                           const FleetOfNode* fleet) {
+  return std::make_unique<Control>(node, path, generation, state, fleet);
+}
+
+std::unique_ptr<FleetOfNode> JoinFleet(node::Node& node, const std::string& path) {
+  return std::make_unique<MembersOfFleet>(node, path);
 }
 
 std::unique_ptr<StateOfNode> KeepState(node::Node& node, const std::string& folder) {
--- a/src/cli/control_of_node.h
+++ b/src/cli/control_of_node.h
@@ -27,12 +27,26 @@
 // Throws where the build has none.
 std::unique_ptr<StateOfNode> KeepState(node::Node& node, const std::string& folder);
 
+// The other nodes of the fleet; nothing in a build without HINGELINK_TOOLS.
+class FleetOfNode {
+ public:
+  virtual ~FleetOfNode() = default;
+  // Behind the node's Run(): the others are told.
+  virtual void Finish() = 0;
+  // For `hingelink fleet members`, and in short for the console, as JSON.
+  virtual std::string Members() const = 0;
+  virtual std::string Short() const = 0;
+};
+// `path`: a file by deploy/schema/peers.json. Throws where it is wrong, or the build has no such part.
+std::unique_ptr<FleetOfNode> JoinFleet(node::Node& node, const std::string& path);
+
 // Behind the path of the control socket: a file that a node leaves when it has ended well.
 inline constexpr char kEndedWell[] = ".ended";
 
 // Throws where it cannot listen, or where the build has no control socket.
 std::unique_ptr<ControlOfNode> MakeControl(node::Node& node, const std::string& path,
-                                           std::uint64_t generation, const StateOfNode* state = nullptr);
+                                           std::uint64_t generation, const StateOfNode* state = nullptr,
+                                           const FleetOfNode* fleet = nullptr);
 
 }  // namespace hingelink::cli
 
--- a/src/cli/no_control.cpp
+++ b/src/cli/no_control.cpp
@@ -6,8 +6,8 @@
 
 namespace hingelink::cli {
 
-std::unique_ptr<ControlOfNode> MakeControl(node::Node&, const std::string&, std::uint64_t,
-                                           const StateOfNode*) {
+std::unique_ptr<ControlOfNode> MakeControl(node::Node&, const std::string&, std::uint64_t, const StateOfNode*,
+                                           const FleetOfNode*) {
   throw std::runtime_error("--control: this program was built without HINGELINK_TOOLS");
 }
 
@@ -15,6 +15,10 @@
   throw std::runtime_error("--learned: this program was built without HINGELINK_TOOLS");
 }
 
+std::unique_ptr<FleetOfNode> JoinFleet(node::Node&, const std::string&) {
+  throw std::runtime_error("--peers: this program was built without HINGELINK_TOOLS");
+}
+
 std::vector<decide::ProcessingUnit> AllowedUnits() {
   throw std::runtime_error("--pin: this program was built without HINGELINK_TOOLS");
 }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -19,6 +19,7 @@
   std::string config;
   std::string control;
   std::string learned;
+  std::string peers;
   std::uint64_t generation = 0;
   std::size_t threads = 1;
   bool pin = false;
@@ -60,10 +61,13 @@
     }
     std::unique_ptr<StateOfNode> state;
     if (!options.learned.empty()) state = KeepState(node, options.learned);
+    std::unique_ptr<FleetOfNode> fleet;
+    if (!options.peers.empty()) fleet = JoinFleet(node, options.peers);
     std::unique_ptr<ControlOfNode> control;
     if (!options.control.empty())
-      control = MakeControl(node, options.control, options.generation, state.get());
+      control = MakeControl(node, options.control, options.generation, state.get(), fleet.get());
     node.Run();
+    if (fleet) fleet->Finish();
     if (state) state->Finish();
   }
   // For a supervisor that did not start this process and is not told how it ended.
@@ -84,6 +88,8 @@
   serve->add_option(
       "--learned", options->learned,
       "Keep what is learned in this folder, which must last, and begin with it at the next start");
+  serve->add_option("--peers", options->peers,
+                    "Join the other nodes as this file says (deploy/schema/peers.json)");
   serve->add_option("--generation", options->generation, "Which start this is, told to who watches");
   serve
       ->add_option("--threads", options->threads,
--- a/src/console/compose.cpp
+++ b/src/console/compose.cpp
@@ -189,6 +189,17 @@
     }
     page.Add(loops, hung ? Style::kBad : Style::kPlain);
   }
+  if (view.fleet) {
+    const View::Fleet& fleet = *view.fleet;
+    std::string line = " fleet  " + Count(static_cast<double>(fleet.alive)) + " alive";
+    if (fleet.suspect > 0) line += "  " + Count(static_cast<double>(fleet.suspect)) + " suspect";
+    if (fleet.gone > 0) line += "  " + Count(static_cast<double>(fleet.gone)) + " gone";
+    if (fleet.cut_off) line += "  CUT OFF: view held";
+    if (!fleet.linked) line += "  NO LINK";
+    page.Add(line, fleet.cut_off || !fleet.linked ? Style::kBad
+                   : fleet.suspect > 0            ? Style::kWarn
+                                                  : Style::kPlain);
+  }
   if (view.drain && (stand.ask_drain || !stand.notice.empty())) {
     page.Add(DrainLine(*view.drain, width, stand.utf8), Style::kWarn);
   }
--- a/src/console/model.cpp
+++ b/src/console/model.cpp
@@ -154,6 +154,12 @@
           {loop.value("connections", std::uint64_t{0}), loop.value("busy", 0.0), loop.value("hung", false)});
     }
   }
+  if (json.contains("fleet")) {
+    const Json& fleet = json["fleet"];
+    view.fleet = View::Fleet{fleet.value("alive", std::uint64_t{0}), fleet.value("suspect", std::uint64_t{0}),
+                             fleet.value("gone", std::uint64_t{0}), fleet.value("cut_off", false),
+                             fleet.value("linked", false)};
+  }
   const Json &pool = json["links"]["pool"], &registry = json["links"]["registry"];
   view.pool_good = pool.value("good", false);
   view.pool_address = pool.value("address", "");
--- a/src/console/model.h
+++ b/src/console/model.h
@@ -44,6 +44,11 @@
     bool hung = false;
   };
   std::vector<Loop> loops;
+  struct Fleet {
+    std::uint64_t alive = 0, suspect = 0, gone = 0;
+    bool cut_off = false, linked = false;
+  };
+  std::optional<Fleet> fleet;
   bool pool_good = false, registry_good = false;
   std::string pool_address, registry_address;
   std::optional<double> pool_busy;
--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-const char* PhaseName(Phase phase) {
+const char* MemberPhaseName(MemberPhase phase) {
   static constexpr const char* kNames[] = {"joining", "warming", "serving", "draining", "left"};
   return kNames[static_cast<std::size_t>(phase)];
 }
@@ -241,7 +241,7 @@
   }
   if (record.name == self_.name) return HearOfSelf(now, record);
   Member* member = Find(record.name);
-  const bool leaves = record.belief == Belief::kGone || record.phase == Phase::kLeft;
+  const bool leaves = record.belief == Belief::kGone || record.phase == MemberPhase::kLeft;
   if (member == nullptr) {
     const auto tombstone = tombstones_.find(record.name);
     // Guards against a word from before its end that comes behind it.
@@ -268,7 +268,7 @@
     return;
   }
   if (record.version > known.version) {
-    if (record.belief == Belief::kGone && Here(known.belief) && record.phase != Phase::kLeft) {
+    if (record.belief == Belief::kGone && Here(known.belief) && record.phase != MemberPhase::kLeft) {
       // It was alive in between, and then it went: known as alive first, so that the guard is asked.
       MemberRecord fresh = record;
       fresh.belief = Belief::kAlive;
@@ -283,7 +283,7 @@
       fresh.belief = Belief::kAlive;
       fresh.by.clear();
     }
-    if (before == Belief::kGone && Here(fresh.belief) && fresh.phase != Phase::kLeft) {
+    if (before == Belief::kGone && Here(fresh.belief) && fresh.phase != MemberPhase::kLeft) {
       ++counts_.returned;
       Say("member-returned", record.name, (now - member->since).count());
     } else if (another_life) {
@@ -291,7 +291,7 @@
     } else if (before == Belief::kSuspect) {
       Say("suspicion-withdrawn", record.name, (now - member->since).count());
     }
-    if (fresh.phase == Phase::kLeft && fresh.belief != Belief::kGone) {
+    if (fresh.phase == MemberPhase::kLeft && fresh.belief != Belief::kGone) {
       fresh.belief = Belief::kGone;
       if (Here(before)) Say("member-left", record.name);
     }
@@ -318,7 +318,7 @@
     Say("life-raised", self_.name);
     return;
   }
-  const bool accused = record.belief != Belief::kAlive && self_.phase != Phase::kLeft;
+  const bool accused = record.belief != Belief::kAlive && self_.phase != MemberPhase::kLeft;
   if (record.version.life < self_.version.life || record.version.incarnation < self_.version.incarnation)
     return;
   if (!accused && record.version == self_.version) return;
@@ -588,7 +588,7 @@
   out_.sends.push_back({to, std::move(message)});
 }
 
-MembershipActions Membership::SetPhase(FleetTime now, Phase phase) {
+MembershipActions Membership::SetPhase(FleetTime now, MemberPhase phase) {
   Notice(now);
   if (phase == self_.phase) return TakeOut();
   MemberRecord fresh = self_;
@@ -710,7 +710,7 @@
       differs_ = from;
       // One that has just come asks on and on; the others once in a while.
       const FleetTime rest =
-          self_.phase == Phase::kJoining || size() <= 2 ? options_.answer / 4 : options_.compare;
+          self_.phase == MemberPhase::kJoining || size() <= 2 ? options_.answer / 4 : options_.compare;
       next_compare_ = std::min(std::max(next_compare_, now), now + rest);
       if (message.kind == MessageKind::kDiffer) next_compare_ = now + rest;
     }
@@ -830,7 +830,7 @@
   const std::size_t from = Below(order_.size());
   for (std::size_t i = 0; i < order_.size() && gone == nullptr; ++i) {
     const Member* member = order_[(from + i) % order_.size()];
-    if (held_ > 0 ? member->held : !Here(member->record.belief) && member->record.phase != Phase::kLeft)
+    if (held_ > 0 ? member->held : !Here(member->record.belief) && member->record.phase != MemberPhase::kLeft)
       gone = member;
   }
   if (gone == nullptr) return;
--- a/src/decide/membership.h
+++ b/src/decide/membership.h
@@ -45,10 +45,10 @@
 };
 
 // What a node says of itself.
-enum class Phase : std::uint8_t { kJoining, kWarming, kServing, kDraining, kLeft };
+enum class MemberPhase : std::uint8_t { kJoining, kWarming, kServing, kDraining, kLeft };
 // What others hold of it.
 enum class Belief : std::uint8_t { kAlive, kSuspect, kGone };
-const char* PhaseName(Phase phase);
+const char* MemberPhaseName(MemberPhase phase);
 const char* BeliefName(Belief belief);
 
 // A life is one start of a process, later ones greater. Within it only the node itself raises its
@@ -65,7 +65,7 @@
   std::string name;
   PeerAddress address;
   Version version;
-  Phase phase = Phase::kJoining;
+  MemberPhase phase = MemberPhase::kJoining;
   Belief belief = Belief::kAlive;
   std::string zone;
   std::uint16_t weight = 1;
@@ -170,7 +170,7 @@
   MembershipActions Tick(FleetTime now);
   MembershipActions Hear(FleetTime now, PeerAddress from, const PeerMessage& message);
   // What this node says of itself from now on. kLeft is told to some at once.
-  MembershipActions SetPhase(FleetTime now, Phase phase);
+  MembershipActions SetPhase(FleetTime now, MemberPhase phase);
   // Further addresses to try while nobody is known: the registry's list, a changed file.
   void SetSeeds(std::vector<PeerAddress> seeds) { seeds_ = std::move(seeds); }
 
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,76 @@
+// Joins the members' decisions to the node's loop, the link and the log. No decision of its own.
+#ifndef HINGELINK_FLEET_FLEET_H_
+#define HINGELINK_FLEET_FLEET_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decide/membership.h"
+#include "decide/rider.h"
+#include "net/peers.h"
+#include "node/joined.h"
+#include "node/node.h"
+
+namespace hingelink::fleet {
+
+// By deploy/schema/peers.json.
+struct FleetConfig {
+  std::string listen, advertise, keys, zone;
+  std::vector<std::string> seeds;
+  std::uint16_t weight = 1;
+};
+// Throws std::runtime_error that names the file, the place in it and what is wanted, a line for each fault.
+FleetConfig ReadFleetConfig(const std::string& path);
+
+class Fleet : public node::Joined {
+ public:
+  // Throws what is wrong with the configuration or its keys. `reread` gives it anew at SIGHUP, or throws.
+  Fleet(node::Node& node, const std::function<FleetConfig()>& reread);
+  ~Fleet() override;
+
+  // What rides along with the members' messages. To be called before the node runs.
+  void Add(decide::Rider& rider) { riders_.Add(rider); }
+  // Behind the node's Run(): tells the others that it has left.
+  void Finish();
+
+  struct Seen {
+    decide::MemberRecord self;
+    std::vector<decide::Membership::Look> others;  // By name.
+    int health = 0;
+    bool cut_off = false, linked = false;
+    decide::MembershipCounts counts;
+    net::PeerLink::Counts link;
+  };
+  Seen Look() const;
+
+  // ---- node::Joined ----
+  void Turned(Turn turn) override;
+  std::string Figures() const override;
+
+ private:
+  void Open();
+  void Hear(const sockaddr_in& from, std::string_view body);
+  void Tick();
+  void Carry(decide::MembershipActions actions);
+  void SetPhase();
+  decide::FleetTime Now() const { return net::Steady::now() - began_; }
+
+  node::Node& node_;
+  std::function<FleetConfig()> reread_;
+  FleetConfig config_;
+  std::vector<net::PeerKey> keys_;
+  net::Steady::time_point began_ = net::Steady::now();
+  decide::Riders riders_;
+  std::optional<net::PeerLink> link_;
+  std::optional<decide::Membership> members_;
+  net::Timer timer_;
+  net::Timer open_;
+  bool handed_over_ = false;
+  bool warned_ = false;  // Of an address that is taken.
+};
+
+}  // namespace hingelink::fleet
+
+#endif  // HINGELINK_FLEET_FLEET_H_
--- a/src/lab/sim/network.cpp
+++ b/src/lab/sim/network.cpp
@@ -3,28 +3,27 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <map>
 #include <tuple>
 #include <utility>
 
+#include "lab/scenario/weather.h"
+
 namespace hingelink::lab {
 namespace {
 
 using decide::Belief;
 using decide::FleetTime;
+using decide::MemberPhase;
 using decide::MemberRecord;
 using decide::Membership;
 using decide::PeerAddress;
 using decide::PeerMessage;
-using decide::Phase;
 using decide::Version;
 
 // A UDP/IPv4 header, and what the link puts before a message (src/net/peers.h).
 constexpr std::size_t kHeaderBytes = 28 + 48;
 // What a frozen process's socket keeps for it.
 constexpr std::size_t kInbox = 400;
-// A throttled link holds as much as it can send in this time; the rest is lost.
-constexpr Millis kThrottleHolds{2'000};
 constexpr Millis kLookEach{50};
 constexpr Millis kServesAfter{1'500};
 constexpr std::uint64_t kUnixAtStart = 1'790'000'000'000;
@@ -42,14 +41,17 @@
 class Network {
  public:
   Network(const Scenario& scenario, const SimOptions& options)
-      : scenario_(scenario), options_(options), draw_(scenario.seed, 1), nodes_(scenario.fleet.nodes) {
+      : scenario_(scenario),
+        options_(options),
+        draw_(scenario.seed, 1),
+        nodes_(scenario.fleet.nodes),
+        weather_(scenario) {
     result_.was_cut_off.assign(nodes_.size(), false);
     if (nodes_.size() <= kMostAudited) told_.resize(nodes_.size() * nodes_.size());
     for (const Fault& fault : scenario_.faults) {
       Active active;
       active.fault = &fault;
       active.from = NodesOf(scenario_, fault.who, &fault.to);
-      active.to = NodesOf(scenario_, fault.to, &fault.who);
       faults_.push_back(std::move(active));
     }
   }
@@ -100,8 +102,7 @@
   };
   struct Active {
     const Fault* fault = nullptr;
-    std::vector<bool> from, to;
-    bool on = false;
+    std::vector<bool> from;  // Its processes.
   };
   struct Kill {
     std::size_t node = 0;
@@ -190,7 +191,7 @@
       }
       case What::kBegin:
       case What::kEnd:
-        Switch(faults_[event.node], event.what == What::kBegin);
+        Switch(event.node, event.what == What::kBegin);
         break;
       case What::kKill:
         End(event.node);
@@ -273,9 +274,9 @@
   void Tick(std::size_t i) {
     Node& node = nodes_[i];
     Take(i, node.membership->Tick(ClockOf(node)));
-    if (node.membership->self().phase == Phase::kJoining &&
+    if (node.membership->self().phase == MemberPhase::kJoining &&
         (node.membership->size() > 1 || now_ - node.began > kServesAfter)) {
-      Take(i, node.membership->SetPhase(ClockOf(node), Phase::kServing));
+      Take(i, node.membership->SetPhase(ClockOf(node), MemberPhase::kServing));
     }
     Schedule(i);
   }
@@ -288,10 +289,10 @@
     Push({.at = now_ + in, .what = What::kTick, .node = i, .mark = ++node.tick});
   }
 
-  void Switch(Active& active, bool on) {
-    active.on = on;
+  void Switch(std::size_t f, bool on) {
+    const Active& active = faults_[f];
     const Fault& fault = *active.fault;
-    if (OnLinks(fault.do_)) return;
+    if (OnLinks(fault.do_)) return weather_.Switch(f, on);
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       if (!active.from[i]) continue;
       Node& node = nodes_[i];
@@ -402,47 +403,11 @@
     Digest(bytes);
     if (to >= nodes_.size()) return;
     Millis delay = scenario_.fleet.delay + scenario_.fleet.jitter * Part() + Millis(nodes_[from].slow_ms);
-    bool lost = scenario_.fleet.loss > 0 && Part() < scenario_.fleet.loss;
-    bool twice = false;
-    for (std::size_t f = 0; f < faults_.size(); ++f) {
-      const Active& active = faults_[f];
-      if (!active.on || !OnLinks(active.fault->do_)) continue;
-      const bool forth = active.from[from] && active.to[to];
-      const bool back = active.fault->both && active.to[from] && active.from[to];
-      if (!forth && !back) continue;
-      const Fault& fault = *active.fault;
-      switch (fault.do_) {
-        case Do::kCut:
-          lost = true;
-          break;
-        case Do::kDelay:
-          delay += Millis(fault.ms + fault.jitter_ms * Part());
-          break;
-        case Do::kLoss:
-          lost = Part() < fault.share || lost;
-          break;
-        case Do::kDuplicate:
-          twice = Part() < fault.share || twice;
-          break;
-        case Do::kReorder:
-          if (Part() < fault.share) delay += Millis(fault.ms * Part());
-          break;
-        case Do::kThrottle: {
-          Millis& free = free_at_[{f, from, to}];
-          free =
-              std::max(free, now_) + Millis(static_cast<double>(bytes + kHeaderBytes) / fault.bytes * 1000);
-          if (free - now_ > kThrottleHolds) {
-            free -= Millis(static_cast<double>(bytes + kHeaderBytes) / fault.bytes * 1000);
-            lost = true;
-          } else {
-            delay += free - now_;
-          }
-          break;
-        }
-        default:
-          break;
-      }
-    }
+    const Passage passage =
+        weather_.Datagram(from, to, bytes + kHeaderBytes, now_, [this] { return Part(); });
+    delay += passage.delay;
+    const bool lost = (scenario_.fleet.loss > 0 && Part() < scenario_.fleet.loss) || passage.lost;
+    const bool twice = passage.twice;
     if (lost) {
       ++result_.lost;
       return;
@@ -583,7 +548,7 @@
   std::uint64_t last_event_ = 0;
   std::vector<Node> nodes_;
   std::vector<Active> faults_;
-  std::map<std::tuple<std::size_t, std::size_t, std::size_t>, Millis> free_at_;
+  Weather weather_;
   std::vector<Kill> kills_;
   std::vector<Told> told_;
   std::vector<Millis> ends_;
--- a/src/node/joined.h
+++ b/src/node/joined.h
@@ -52,8 +52,9 @@
   virtual void Gather(Batch& batch) { static_cast<void>(batch); }
   // Behind each step: its actions have been carried out.
   virtual void Stepped() {}
-  // Once, at the notice to leave.
-  virtual void Leaving() {}
+  // A turn of the node's life has come; kReloaded comes behind a file that was taken.
+  enum class Turn { kLeaving, kHandedOver, kTakenBack, kReloaded };
+  virtual void Turned(Turn turn) { static_cast<void>(turn); }
   // Between two rounds of the loop, never from within a callback.
   virtual void Sweep() {}
   // For the second address, in the Prometheus text format.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -229,6 +229,10 @@
   return std::any_of(joined_.begin(), joined_.end(), [](const Joined* joined) { return joined->HasNews(); });
 }
 
+void Node::Turn(Joined::Turn turn) {
+  for (Joined* joined : joined_) joined->Turned(turn);
+}
+
 std::string Node::Figures() const {
   std::string text = metrics_.Text(table_.unanswered(), SeeLoops());
   for (const Joined* joined : joined_) text += joined->Figures();
@@ -332,6 +336,7 @@
   front_->PauseListening();
   front_->AskForNoMore();
   front_->CloseQuiet();
+  Turn(Joined::Turn::kHandedOver);
 }
 
 // Guards against a successor that dies: its clients are served by this process again.
@@ -341,12 +346,13 @@
   handed_over_ = false;
   listening_ = true;
   front_->ResumeListening();
+  Turn(Joined::Turn::kTakenBack);
 }
 
 bool Node::Leave() {
   if (leaving_) return false;
   leaving_ = true;
-  for (Joined* joined : joined_) joined->Leaving();
+  Turn(Joined::Turn::kLeaving);
   if (handed_over_) {
     // No drain: nothing is to be moved away, and what is in hand is run and answered in its own time.
     notice_given_ = true;
@@ -391,6 +397,7 @@
     if (std::exchange(config_.registry, fresh.registry) != fresh.registry) {
       registry_.Move(registry, fresh.registry);
     }
+    Turn(Joined::Turn::kReloaded);
     return {};
   } catch (const std::exception& fault) {
     metrics_.CountReload(false);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -61,6 +61,8 @@
   // Requests wait to be run.
   bool Holds() const { return policy_ && policy_->InHand().work_ms > 0; }
   bool leaving() const { return leaving_; }
+  // Whether this process takes clients.
+  bool ready() const { return Ready(); }
   // Takes part in the loop from now on, behind those that joined before, until Part(). Not to be called from
   // within its own calls.
   void Join(Joined& joined) { joined_.push_back(&joined); }
@@ -96,6 +98,7 @@
   // What the other processes of this node have in hand has changed.
   void SeeOthers();
   std::string Figures() const;
+  void Turn(Joined::Turn turn);
   // Whether a part that joined has something for the module.
   bool AnyNews() const;
   // What a predecessor has learned is newer than what any folder holds.
--- a/src/schema/schema.h
+++ b/src/schema/schema.h
@@ -38,6 +38,7 @@
 std::string_view ControlRequestSchema();
 std::string_view ControlSnapshotSchema();
 std::string_view ApplianceSchema();
+std::string_view PeersSchema();
 std::string_view ScenarioSchema();
 
 }  // namespace hingelink::schema
--- a/tests/node/joined_test.cpp
+++ b/tests/node/joined_test.cpp
@@ -33,7 +33,7 @@
     if (given > 0) given_.push_back(given);
   }
   void Stepped() override { ++steps_; }
-  void Leaving() override { ++leavings_; }
+  void Turned(Turn turn) override { leavings_ += turn == Turn::kLeaving ? 1 : 0; }
   std::string Figures() const override { return "news_left " + std::to_string(left_) + "\n"; }
 
   std::vector<std::size_t> given_;
--- a/tests/rooms.sh
+++ b/tests/rooms.sh
@@ -31,6 +31,7 @@
 check node "hingelink core decide proto log net"
 check control "hingelink core proto log net node schema"
 check background "hingelink core decide proto log net node state"
+check fleet "hingelink core decide proto log net node state schema"
 check console "log control"
 check standin "core proto net"
 check appliance "log net node control decide state schema"
@@ -44,7 +45,7 @@
 for room in src/*/; do
   case " $(basename "$room") " in
     *" core "* | *" log "* | *" schema "* | *" decide "* | *" state "* | *" proto "* | *" net "* | *" node "*) ;;
-    *" lab "* | *" background "* | *" control "* | *" console "* | *" standin "* | *" appliance "* | *" cli "* | *" benchlink "*) ;;
+    *" fleet "* | *" lab "* | *" background "* | *" control "* | *" console "* | *" standin "* | *" appliance "* | *" cli "* | *" benchlink "*) ;;
     *)
       echo "$room is not in this list"
       bad=1
