Play scenarios with real processes and a relay on every link: hingelink lab run

Need: nothing could put a fault between two processes of the program.

Request ids of the gateways stand-in differ from run to run: a second run with one seed had its tries taken for repeats of the first.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -19,6 +19,7 @@
 void AddState(CLI::App& app, int& status);
 void AddBackground(CLI::App& app, int& status);
 void AddFleet(CLI::App& app, int& status);
+void AddLab(CLI::App& app, int& status);
 void AddCompletion(CLI::App& app);
 
 }  // namespace hingelink::cli
--- /dev/null
+++ b/src/lab/rig/rig.cpp
@@ -0,0 +1,633 @@
+#include "lab/rig/rig.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <pcg_random.hpp>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "standin/host.h"
+#include "standin/own_address.h"
+#include "standin/pool.h"
+#include "standin/registry.h"
+
+namespace hingelink::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using net::Steady;
+
+constexpr auto kBeat = 5ms;
+constexpr auto kPatience = 60s;
+
+// A process of the rig's own: started, signalled and waited for by its number, which stays its own until
+// then.
+class NodeProcess {
+ public:
+  ~NodeProcess() { Kill(); }
+
+  void Start(const std::vector<std::string>& words, const std::string& folder) {
+    if (pid_ > 0) return;
+    pid_ = fork();
+    if (pid_ < 0) throw std::runtime_error("rig: no process");
+    if (pid_ == 0) {
+      // Guards against nodes that outlive a rig that was killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const int log = open((folder + "/log").c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+      dup2(log, 1);
+      dup2(log, 2);
+      setenv("TMPDIR", (folder + "/run").c_str(), 1);
+      std::vector<char*> args;
+      for (const std::string& word : words) args.push_back(const_cast<char*>(word.c_str()));
+      args.push_back(nullptr);
+      execv(args[0], args.data());
+      _exit(127);
+    }
+  }
+  void Signal(int number) const {
+    if (pid_ > 0) kill(pid_, number);
+  }
+  void Kill() {
+    if (pid_ <= 0) return;
+    Gather();
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+  }
+  // Whether it has ended by itself.
+  bool Ended() {
+    if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
+    pid_ = -1;
+    return true;
+  }
+  bool running() const { return pid_ > 0; }
+  void Gather() {
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+    std::string line;
+    if (!std::getline(file, line)) return;
+    std::istringstream words(line.substr(line.rfind(')') + 2));
+    const std::vector<std::string> fields(std::istream_iterator<std::string>(words), {});
+    if (fields.size() < 22) return;
+    cpu_seconds_ +=
+        (std::stod(fields[11]) + std::stod(fields[12])) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    rss_mb_ = std::stod(fields[21]) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+  }
+  double cpu_seconds() const { return cpu_seconds_; }
+  double rss_mb() const { return rss_mb_; }
+
+ private:
+  pid_t pid_ = -1;
+  double cpu_seconds_ = 0, rss_mb_ = 0;
+};
+
+struct Event {
+  Millis at{0};
+  std::function<void()> what;
+};
+
+class Rig {
+ public:
+  Rig(const Scenario& scenario, const RigOptions& options)
+      : scenario_(scenario),
+        options_(options),
+        count_(scenario.fleet.nodes),
+        weather_(scenario),
+        draw_(scenario.seed, 5),
+        nodes_(count_) {}
+  ~Rig() {
+    for (Node& node : nodes_) node.process.Kill();
+    relays_.Do([this] {
+      beat_.reset();
+      datagrams_.reset();
+      connections_.clear();
+    });
+    standins_.Do([this] {
+      gateways_.reset();
+      pools_.clear();
+      registry_.reset();
+    });
+  }
+
+  RigResult Run() {
+    result_.scenario = scenario_.name;
+    result_.seed = scenario_.seed;
+    SetUp();
+    Plan();
+    Play();
+    Conclude();
+    return std::move(result_);
+  }
+
+ private:
+  struct Node {
+    std::string name, folder, listen, peers;
+    NodeProcess process;
+    bool frozen = false, wanted = false;
+    Millis began{0}, lived{0};
+  };
+  struct Kill {
+    std::size_t node = 0;
+    Millis at{0};
+    bool open = true;
+    std::set<std::size_t> knows;
+    RigResult::Kill times;
+  };
+
+  Millis Now() const { return Millis(Steady::now() - began_); }
+  double Part() { return static_cast<double>(draw_() >> 11) * 0x1.0p-53; }
+  void Say(const std::string& line) const {
+    if (options_.progress) options_.progress(line);
+  }
+
+  void SetUp() {
+    for (std::size_t i = 0; i < count_; ++i) {
+      Node& node = nodes_[i];
+      node.name = "n" + std::to_string(i);
+      node.folder = options_.folder + '/' + node.name;
+      std::filesystem::create_directories(node.folder + "/run");
+      node.listen = standin::OwnAddress();
+      node.peers = standin::OwnAddress();
+    }
+    {
+      const std::string path = options_.folder + "/keys";
+      const int fd = open(path.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
+      if (fd < 0 || write(fd, options_.peer_key.data(), options_.peer_key.size()) < 0)
+        throw std::runtime_error(path);
+      close(fd);
+    }
+    std::vector<std::string> pools;
+    std::string registry;
+    standins_.Do([&] {
+      registry_ = std::make_unique<standin::Registry>(standins_.base(), standin::RegistryOptions{});
+      registry = registry_->address();
+      for (std::size_t i = 0; i < count_; ++i) {
+        standin::PoolOptions pool;
+        pool.cores.count = scenario_.fleet.cores;
+        pools_.push_back(std::make_unique<standin::Pool>(standins_.base(), pool));
+        pools.push_back(pools_.back()->address());
+      }
+    });
+    const Parties& parties = weather_.parties();
+    relays_.Do([&] {
+      RelayHost host{relays_.base(), &weather_, [this] { return Now(); }, [this] { return Part(); }};
+      std::vector<std::string> real;
+      for (const Node& node : nodes_) real.push_back(node.peers);
+      datagrams_ = std::make_unique<DatagramRelay>(host, real, counts_);
+      for (std::size_t i = 0; i < count_; ++i) {
+        connections_.push_back(
+            std::make_unique<ConnectionRelay>(host, parties.Gateways(), i, nodes_[i].listen, counts_));
+        connections_.push_back(
+            std::make_unique<ConnectionRelay>(host, i, parties.Pool(i), pools[i], counts_));
+        connections_.push_back(
+            std::make_unique<ConnectionRelay>(host, i, parties.Registry(), registry, counts_));
+      }
+      beat_.emplace(relays_.base(), [this] { Beat(); });
+      next_beat_ = Steady::now() + kBeat;
+      beat_->After(kBeat);
+    });
+    for (std::size_t i = 0; i < count_; ++i) WriteConfig(i);
+  }
+
+  void WriteConfig(std::size_t i) {
+    Node& node = nodes_[i];
+    nlohmann::ordered_json config = options_.node_config(scenario_.fleet.cores, scenario_.fleet.gateways);
+    config["name"] = node.name;
+    config["listen"] = node.listen;
+    config["pool"] = connections_[3 * i + 1]->address();
+    config["registry"] = connections_[3 * i + 2]->address();
+    std::ofstream(node.folder + "/node.json") << config.dump(2);
+    nlohmann::ordered_json peers = {{"listen", node.peers},
+                                    {"advertise", datagrams_->address(i)},
+                                    {"keys", options_.folder + "/keys"},
+                                    {"zone", scenario_.fleet.zones[i % scenario_.fleet.zones.size()]}};
+    peers["seeds"] = nlohmann::ordered_json::array();
+    for (std::size_t s = 0; s < scenario_.fleet.seeds && s < count_; ++s) {
+      peers["seeds"].push_back(datagrams_->address(s));
+    }
+    std::ofstream(node.folder + "/peers.json") << peers.dump(2);
+  }
+
+  // On the relays' loop: how late it is itself.
+  void Beat() {
+    const Steady::time_point now = Steady::now();
+    const Millis late = now - next_beat_;
+    late_.push_back(static_cast<float>(std::max(0.0, late.count())));
+    for (const auto& connection : connections_) connection->Sweep();
+    next_beat_ = Steady::now() + kBeat;
+    beat_->After(kBeat);
+  }
+
+  void Start(std::size_t i) {
+    Node& node = nodes_[i];
+    if (node.process.running()) return;
+    std::filesystem::remove(node.folder + "/control");
+    std::vector<std::string> words = {options_.program,           "serve",     "--config",
+                                      node.folder + "/node.json", "--control", node.folder + "/control"};
+    if (options_.peers) words.insert(words.end(), {"--peers", node.folder + "/peers.json"});
+    node.process.Start(words, node.folder);
+    node.wanted = true;
+    node.frozen = false;
+    node.began = Now();
+    for (Kill& kill : kills_) kill.open = kill.open && kill.node != i;
+  }
+
+  void End(std::size_t i) {
+    Node& node = nodes_[i];
+    if (!node.process.running()) return;
+    node.process.Kill();
+    node.wanted = false;
+    node.lived += Now() - node.began;
+    Kill kill;
+    kill.node = i;
+    kill.at = Now();
+    kill.times.node = node.name;
+    kills_.push_back(std::move(kill));
+  }
+
+  void Add(Millis at, std::function<void()> what) { events_.push_back({at, std::move(what)}); }
+
+  void Plan() {
+    for (std::size_t i = 0; i < count_; ++i) {
+      Add(scenario_.fleet.start_within * (static_cast<double>(i) / static_cast<double>(count_)),
+          [this, i] { Start(i); });
+    }
+    for (std::size_t f = 0; f < scenario_.faults.size(); ++f) {
+      const Fault& fault = scenario_.faults[f];
+      const Millis end = fault.lasts.count() > 0 ? fault.at + fault.lasts : scenario_.length;
+      if (fault.do_ == Do::kReset) {
+        Add(fault.at, [this, f] {
+          relays_.Do([&] {
+            for (const auto& connection : connections_) {
+              if (weather_.Touches(f, connection->from(), connection->to())) connection->Reset();
+            }
+          });
+        });
+      } else if (OnLinks(fault.do_)) {
+        Add(fault.at, [this, f] { relays_.Do([&] { weather_.Switch(f, true); }); });
+        Add(end, [this, f] { relays_.Do([&] { weather_.Switch(f, false); }); });
+      } else if (fault.do_ == Do::kKill || fault.do_ == Do::kFreeze) {
+        const std::vector<bool> who = NodesOf(scenario_, fault.who);
+        Millis at = fault.at;
+        for (std::size_t i = 0; i < count_; ++i) {
+          if (!who[i]) continue;
+          if (fault.do_ == Do::kKill) {
+            Add(at, [this, i] { End(i); });
+            if (fault.restart) Add(at + *fault.restart, [this, i] { Start(i); });
+          } else {
+            Add(at, [this, i] {
+              nodes_[i].frozen = true;
+              nodes_[i].process.Signal(SIGSTOP);
+            });
+            Add(at + (end - fault.at), [this, i] {
+              nodes_[i].process.Signal(SIGCONT);
+              nodes_[i].frozen = false;
+            });
+          }
+          at += fault.stagger;
+        }
+      } else {
+        Say(std::string(NameOf(fault.do_)) + " is for simulated time alone, and left out here");
+      }
+      const Millis over = fault.at + fault.lasts + fault.restart.value_or(Millis(0));
+      if (over < scenario_.length) ends_.push_back(over);
+    }
+    std::sort(ends_.begin(), ends_.end());
+    result_.agreed_after.assign(ends_.size(), Millis(-1));
+    std::stable_sort(events_.begin(), events_.end(),
+                     [](const Event& a, const Event& b) { return a.at < b.at; });
+  }
+
+  void StartLoad() {
+    if (scenario_.load.empty() || scenario_.fleet.gateways == 0) return;
+    standins_.Do([&] {
+      standin::GatewaysOptions gateways;
+      for (std::size_t i = 0; i < count_; ++i) gateways.targets.push_back(connections_[3 * i]->address());
+      gateways.gateways = static_cast<int>(scenario_.fleet.gateways);
+      gateways.classes = options_.classes;
+      gateways.rate = Rate(scenario_.load.front().share);
+      gateways.retries = 1;
+      gateways.seed = scenario_.seed;
+      gateways_ = std::make_unique<standin::Gateways>(standins_.base(), gateways);
+    });
+  }
+  double Rate(double share) const {
+    return std::max(0.1, share * options_.capacity(scenario_.fleet.cores) * static_cast<double>(count_));
+  }
+
+  // Until every node that was started answers; the scenario's time begins then.
+  void AwaitAll() {
+    const Steady::time_point until = Steady::now() + kPatience;
+    for (Node& node : nodes_) {
+      while (node.wanted && !options_.look(node.folder + "/control")) {
+        if (Steady::now() > until)
+          throw std::runtime_error("rig: " + node.name + " does not answer; see its log");
+        std::this_thread::sleep_for(10ms);
+      }
+    }
+  }
+
+  void Play() {
+    // Starts come first, and on their own time: a process takes as long as the machine lets it.
+    std::size_t next = 0;
+    while (next < events_.size() && events_[next].at < scenario_.fleet.start_within) events_[next++].what();
+    AwaitAll();
+    for (Node& node : nodes_) node.began = Millis(0);
+    Say("all " + std::to_string(count_) + " nodes answer");
+    began_ = Steady::now();
+    relays_.Do([this] { late_.clear(); });
+    StartLoad();
+    std::size_t next_load = 1;
+    Millis next_look = options_.look_each;
+    while (Now() < scenario_.length) {
+      if (next < events_.size() && events_[next].at <= Now()) {
+        events_[next++].what();
+        continue;
+      }
+      if (next_load < scenario_.load.size() && scenario_.load[next_load].at <= Now()) {
+        standins_.Do([&] {
+          if (gateways_) gateways_->SetRate(Rate(scenario_.load[next_load].share));
+        });
+        ++next_load;
+        continue;
+      }
+      if (next_look <= Now()) {
+        Look();
+        next_look = std::max(Now(), next_look + options_.look_each);
+        continue;
+      }
+      Millis until = std::min(next_look, scenario_.length);
+      if (next < events_.size()) until = std::min(until, events_[next].at);
+      if (next_load < scenario_.load.size()) until = std::min(until, scenario_.load[next_load].at);
+      std::this_thread::sleep_until(began_ + std::chrono::duration_cast<Steady::duration>(until));
+    }
+  }
+
+  void Look() {
+    std::vector<std::optional<NodeView>> views(count_);
+    const Millis at = Now();
+    std::size_t live = 0;
+    for (std::size_t i = 0; i < count_; ++i) {
+      Node& node = nodes_[i];
+      if (node.wanted && node.process.Ended()) {
+        node.wanted = false;
+        result_.crashed.push_back(node.name);
+        Violate(node.name + " ended by itself");
+      }
+      if (!node.wanted) continue;
+      ++live;
+      if (node.frozen || !options_.peers) continue;
+      views[i] = options_.look(node.folder + "/control");
+      if (views[i] && views[i]->cut_off) cut_off_.insert(node.name);
+    }
+    if (!options_.peers) return;
+    for (std::size_t i = 0; i < count_; ++i) {
+      if (!views[i]) continue;
+      for (const auto& [name, other] : views[i]->others) {
+        if (!other.gone) continue;
+        const std::size_t about = std::stoul(name.substr(1));
+        for (const Assertion& assertion : scenario_.assertions) {
+          if (assertion.what == Check::kNoneDropped)
+            Violate("n" + std::to_string(i) + " holds " + name + " as gone");
+          if (assertion.what == Check::kNobodyGone && nodes_[about].wanted && at - nodes_[about].began > 1s &&
+              (!assertion.who || NodesOf(scenario_, *assertion.who)[about])) {
+            Violate("n" + std::to_string(i) + " holds " + name + " as gone, which lives");
+          }
+        }
+        for (Kill& kill : kills_) {
+          if (!kill.open || kill.node != about || !kill.knows.insert(i).second) continue;
+          const Millis after = at - kill.at;
+          const auto known = static_cast<double>(kill.knows.size()), all = static_cast<double>(live);
+          if (kill.times.first.count() < 0) kill.times.first = after;
+          if (kill.times.half.count() < 0 && known >= all / 2) kill.times.half = after;
+          if (kill.times.most.count() < 0 && known >= all * 0.99) kill.times.most = after;
+        }
+      }
+    }
+    const std::string why = Disagreement(views, live);
+    if (why.empty()) {
+      for (std::size_t e = 0; e < ends_.size(); ++e) {
+        if (ends_[e] <= at && result_.agreed_after[e].count() < 0) result_.agreed_after[e] = at - ends_[e];
+      }
+      return;
+    }
+    for (const Assertion& assertion : scenario_.assertions) {
+      if ((assertion.what == Check::kAgree || assertion.what == Check::kBack) && !disagreed_ &&
+          at >= scenario_.LastFault() + assertion.within) {
+        disagreed_ = true;
+        Violate("at " + std::to_string(std::lround(at.count())) + " ms views differ: " + why);
+      }
+    }
+  }
+
+  // Empty where all that live and run hold exactly those that live, in their newest life.
+  std::string Disagreement(const std::vector<std::optional<NodeView>>& views, std::size_t live) const {
+    for (std::size_t i = 0; i < count_; ++i) {
+      if (!nodes_[i].wanted || nodes_[i].frozen) continue;
+      if (!views[i]) return nodes_[i].name + " does not answer";
+      std::size_t here = 1;
+      for (const auto& [name, other] : views[i]->others) {
+        if (other.gone) continue;
+        ++here;
+        const std::size_t about = std::stoul(name.substr(1));
+        if (!nodes_[about].wanted) return nodes_[i].name + " holds " + name + " as there, which is not";
+        if (views[about] && views[about]->life != other.life)
+          return nodes_[i].name + " knows of an older life of " + name;
+      }
+      if (here != live)
+        return nodes_[i].name + " knows of " + std::to_string(here) + " of " + std::to_string(live);
+    }
+    return {};
+  }
+
+  void Violate(const std::string& what) {
+    if (result_.violations.size() < 20) result_.violations.push_back(what);
+  }
+
+  void Conclude() {
+    if (gateways_) {
+      standins_.Do([&] { gateways_->Stop(); });
+      const Steady::time_point until = Steady::now() + 10s;
+      for (bool idle = false; !idle && Steady::now() < until;) {
+        standins_.Do([&] { idle = gateways_->idle(); });
+        if (!idle) std::this_thread::sleep_for(5ms);
+      }
+      standins_.Do([&] {
+        const standin::Account& account = gateways_->account();
+        result_.account = account.Sum();
+        result_.median_ms = account.Wait(0.5);
+        result_.p99_ms = account.Wait(0.99);
+        if (account.worst_lag > options_.late_most) result_.is_void = true;
+      });
+    }
+    relays_.Do([&] {
+      result_.relay = counts_;
+      if (!late_.empty()) {
+        std::sort(late_.begin(), late_.end());
+        result_.late_worst = Millis(late_.back());
+        result_.late_99 = Millis(late_[late_.size() * 99 / 100]);
+      }
+    });
+    if (result_.late_worst > options_.late_most || result_.late_99 > options_.late_99) result_.is_void = true;
+    double cpu = 0, rss = 0;
+    std::size_t live = 0;
+    Millis lived{0};
+    for (Node& node : nodes_) {
+      if (node.process.running()) {
+        node.lived += Now() - node.began;
+        node.process.Gather();
+        rss += node.process.rss_mb();
+        ++live;
+      }
+      cpu += node.process.cpu_seconds();
+      lived += node.lived;
+    }
+    if (lived.count() > 0) {
+      result_.cpu_share = cpu * 1000 / lived.count();
+      result_.bytes_a_second = static_cast<double>(counts_.bytes) * 1000 / lived.count();
+    }
+    if (live > 0) result_.rss_mb = rss / static_cast<double>(live);
+    for (const Kill& kill : kills_) result_.kills.push_back(kill.times);
+    result_.cut_off.assign(cut_off_.begin(), cut_off_.end());
+    Judge();
+  }
+
+  void Judge() {
+    const standin::ClassAccount& account = result_.account;
+    for (const Assertion& assertion : scenario_.assertions) {
+      switch (assertion.what) {
+        case Check::kWhole:
+          if (account.wrong + account.twice > 0)
+            Violate(std::to_string(account.wrong) + " wrong answers, " + std::to_string(account.twice) +
+                    " second ones");
+          if (NothingEnds() && account.lost + account.unanswered > 0)
+            Violate(std::to_string(account.lost) + " requests lost, " + std::to_string(account.unanswered) +
+                    " unanswered");
+          break;
+        case Check::kServed: {
+          const double share = account.requests == 0 ? 0
+                                                     : static_cast<double>(account.good) /
+                                                           static_cast<double>(account.requests);
+          if (share < assertion.least) Violate("served in time: " + std::to_string(share));
+          break;
+        }
+        case Check::kBytes:
+          if (result_.bytes_a_second > assertion.most)
+            Violate(std::to_string(std::lround(result_.bytes_a_second)) + " bytes a second and node");
+          break;
+        case Check::kGoneKnown:
+          for (const Kill& kill : kills_) {
+            const Millis took = assertion.share > 0.5 ? kill.times.most : kill.times.half;
+            if (kill.open && (took.count() < 0 || took > assertion.within + options_.look_each))
+              Violate("the end of " + kill.times.node + " was known after " +
+                      std::to_string(std::lround(took.count())) + " ms");
+          }
+          break;
+        case Check::kCutOffSaid: {
+          const std::vector<bool> who = NodesOf(scenario_, *assertion.who);
+          for (std::size_t i = 0; i < count_; ++i) {
+            if (who[i] && !cut_off_.contains(nodes_[i].name))
+              Violate(nodes_[i].name + " never said that it is cut off");
+          }
+          break;
+        }
+        default:
+          break;
+      }
+    }
+  }
+  // No fault that ends connections or holds them up.
+  bool NothingEnds() const {
+    return std::all_of(scenario_.faults.begin(), scenario_.faults.end(), [](const Fault& fault) {
+      return OnLinks(fault.do_) && fault.who.kind != Who::Kind::kAll &&
+             fault.who.kind != Who::Kind::kGateways && fault.who.kind != Who::Kind::kPools &&
+             fault.to.kind != Who::Kind::kAll;
+    });
+  }
+
+  const Scenario& scenario_;
+  const RigOptions& options_;
+  const std::size_t count_;
+  Weather weather_;  // On the relays' loop from SetUp() on.
+  pcg64 draw_;       // Likewise.
+  Steady::time_point began_ = Steady::now();
+  std::vector<Node> nodes_;
+  standin::Host standins_, relays_;
+  std::unique_ptr<standin::Registry> registry_;
+  std::vector<std::unique_ptr<standin::Pool>> pools_;
+  std::unique_ptr<standin::Gateways> gateways_;
+  RelayCounts counts_;
+  std::unique_ptr<DatagramRelay> datagrams_;
+  std::vector<std::unique_ptr<ConnectionRelay>> connections_;  // Three a node: gateways, pool, registry.
+  std::optional<net::Timer> beat_;
+  Steady::time_point next_beat_{};
+  std::vector<float> late_;
+  std::vector<Event> events_;
+  std::vector<Millis> ends_;
+  std::vector<Kill> kills_;
+  std::set<std::string> cut_off_;
+  bool disagreed_ = false;
+  RigResult result_;
+};
+
+double Round(double value) { return std::round(value * 1000) / 1000; }
+
+}  // namespace
+
+nlohmann::ordered_json RigResult::Json() const {
+  nlohmann::ordered_json json = {
+      {"scenario", scenario},
+      {"seed", seed},
+      {"void", is_void},
+      {"violations", violations},
+      {"late_ms", {{"worst", Round(late_worst.count())}, {"p99", Round(late_99.count())}}},
+      {"account",
+       {{"requests", account.requests},
+        {"tries", account.tries},
+        {"served", account.served},
+        {"refused", account.refused},
+        {"failed", account.failed},
+        {"lost", account.lost},
+        {"unanswered", account.unanswered},
+        {"late", account.late},
+        {"wrong", account.wrong},
+        {"twice", account.twice},
+        {"not_sent", account.not_sent},
+        {"good", account.good},
+        {"median_ms", Round(median_ms)},
+        {"p99_ms", Round(p99_ms)}}},
+      {"relay",
+       {{"datagrams", relay.datagrams},
+        {"bytes", relay.bytes},
+        {"lost", relay.lost},
+        {"connections", relay.connections},
+        {"resets", relay.resets}}},
+      {"bytes_a_second", Round(bytes_a_second)},
+      {"cpu_share", Round(cpu_share)},
+      {"rss_mb", Round(rss_mb)},
+      {"cut_off", cut_off},
+      {"crashed", crashed}};
+  json["kills"] = nlohmann::ordered_json::array();
+  for (const Kill& kill : kills) {
+    json["kills"].push_back({{"node", kill.node},
+                             {"first_ms", Round(kill.first.count())},
+                             {"half_ms", Round(kill.half.count())},
+                             {"most_ms", Round(kill.most.count())}});
+  }
+  json["agreed_after_ms"] = nlohmann::ordered_json::array();
+  for (const Millis& after : agreed_after) json["agreed_after_ms"].push_back(Round(after.count()));
+  return json;
+}
+
+RigResult RunRig(const Scenario& scenario, const RigOptions& options) { return Rig(scenario, options).Run(); }
+
+}  // namespace hingelink::lab
--- /dev/null
+++ b/src/lab/rig/rig.h
@@ -0,0 +1,78 @@
+// A scenario with real processes of the program: each node a process, stand-ins round them, and a relay on
+// every link between two of them. Accounts come from the stand-ins and the relays, and what a node holds of
+// the others from its control socket.
+#ifndef HINGELINK_LAB_RIG_RIG_H_
+#define HINGELINK_LAB_RIG_RIG_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/rig/relay.h"
+#include "lab/scenario/scenario.h"
+#include "standin/gateways.h"
+
+namespace hingelink::lab {
+
+// What a node holds of the others, by its own word.
+struct NodeView {
+  struct Other {
+    std::uint64_t life = 0;
+    bool gone = false, suspect = false;
+  };
+  std::uint64_t life = 0;  // Its own.
+  bool cut_off = false;
+  std::map<std::string, Other> others;
+};
+
+struct RigOptions {
+  std::string program;  // That is started as `program serve ...`.
+  // A node's configuration in the platform's form; the rig sets name, addresses and seed.
+  std::function<nlohmann::ordered_json(int cores, std::size_t gateways)> node_config;
+  std::vector<standin::ClassLoad> classes;
+  std::function<double(int cores)> capacity;  // First tries a second.
+  // Asks the control socket at this path; nothing where it does not answer.
+  std::function<std::optional<NodeView>(const std::string& socket)> look;
+  std::string peer_key;  // A line of a key file.
+  std::string folder;    // Must be there and empty; logs and sockets go into it.
+  bool peers = true;     // Whether the nodes join each other.
+  Millis look_each{200};
+  // Beyond these the rig was the bound, and the run says nothing.
+  Millis late_most{500}, late_99{25};
+  std::function<void(const std::string& line)> progress;
+};
+
+struct RigResult {
+  std::string scenario;
+  std::uint64_t seed = 0;
+  std::vector<std::string> violations;
+  bool is_void = false;  // The rig was the bound.
+  Millis late_worst{0}, late_99{0};
+  standin::ClassAccount account;
+  double median_ms = 0, p99_ms = 0;
+  RelayCounts relay;
+  struct Kill {
+    std::string node;
+    Millis first{-1}, half{-1}, most{-1};  // As in simulated time, by looks.
+  };
+  std::vector<Kill> kills;
+  std::vector<Millis> agreed_after;  // Behind the end of each fault.
+  std::vector<std::string> cut_off;  // Nodes that said so.
+  double bytes_a_second = 0;         // Of a node, to other nodes.
+  double cpu_share = 0;              // Of a core, mean of the nodes.
+  double rss_mb = 0;                 // Mean of the nodes at the end.
+  std::vector<std::string> crashed;  // Processes that ended by themselves.
+
+  nlohmann::ordered_json Json() const;
+};
+
+// Plays it. Throws std::runtime_error where it cannot be set up.
+RigResult RunRig(const Scenario& scenario, const RigOptions& options);
+
+}  // namespace hingelink::lab
+
+#endif  // HINGELINK_LAB_RIG_RIG_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,6 +22,7 @@
   hingelink::cli::AddState(app, status);
   hingelink::cli::AddBackground(app, status);
   hingelink::cli::AddFleet(app, status);
+  hingelink::cli::AddLab(app, status);
   hingelink::cli::AddCompletion(app);
 #endif
   hingelink::cli::AddServe(app);
--- a/src/standin/gateways.cpp
+++ b/src/standin/gateways.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <map>
 #include <optional>
+#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -240,6 +241,7 @@
       draw_(options.seed),
       arrival_(base, [this] { Arrive(); }),
       sweep_(base, [this] { Sweep(); }) {
+  if (options_.run == 0) options_.run = std::random_device{}() | std::uint64_t{1} << 32;
   double shares = 0;
   for (const ClassLoad& c : options_.classes) {
     account_.classes.push_back({});
@@ -364,7 +366,7 @@
     Try sent;
     sent.gateway = &gateway;
     sent.connection = connection->id_;
-    sent.req = Mix((options_.seed << 40) + ++last_number_ * 2654435761u);
+    sent.req = Mix(Mix(options_.run) + ++last_number_);
     sent.target = target;
     sent.request = request;
     sent.sent = now;
--- a/src/standin/gateways.h
+++ b/src/standin/gateways.h
@@ -50,6 +50,9 @@
   Signal signal = Signal::kIgnored;
   double resets = 0;  // Share of answers at which the gateway's side resets the connection, with all on it.
   std::uint64_t seed = 1;
+  // Tells its tries from those of all other runs; 0: drawn at the start. Guards against a node that takes a
+  // second run with the same seed for repeats of the first, and fails them.
+  std::uint64_t run = 0;
 };
 
 struct ClassAccount {
