End a look at a held suspicion: a time rounded to now had it come again without end

Checked: the schedule alone is ordinary (a cut, a restart, a reorder); the last call was TickSuspicions. Ruled out: a storm of messages (counted: none), the network's own events. Wrong: Drop() held a member until held_last_ + suspicion where now - held_last_ < suspicion by rounding alone, so that the same look was due again at once; in a node it would have hung the loop.

--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -14,6 +14,7 @@
 constexpr int kDraws = 8;
 // Between two looks at a suspicion that the guard against mass change holds.
 constexpr FleetTime kLookAgain{500};
+constexpr FleetTime kLeastHold{50};
 constexpr std::size_t kOutcomes = 10;
 // A node whose name others keep taking for a greater life raises its own at most so often, and says so then.
 constexpr FleetTime kRaiseEach{1'000};
@@ -457,6 +458,8 @@
 }
 
 void Membership::Hold(FleetTime now, Member& member, FleetTime until, bool ask) {
+  // Guards against a look that comes again at the same moment, without end: a sum of times may round to now.
+  until = std::max(until, now + kLeastHold);
   member.waited += until - now;
   SetDeadline(member, until, ask);
 }
--- a/tests/lab/sim_test.cpp
+++ b/tests/lab/sim_test.cpp
@@ -70,6 +70,13 @@
   return name;
 });
 
+// A suspicion behind a hold was due at the moment of its own look, by rounding: the look came again without
+// end.
+TEST(Simulated, ALookAtAMomentIsOver) {
+  const SimResult result = Simulate(RandomScenario(787, 12, Millis(45'000)));
+  EXPECT_EQ(result.broken, 0u);
+}
+
 TEST(Simulated, RandomFaultsBreakNoRule) {
   for (std::uint64_t seed = 1; seed <= 150; ++seed) {
     const Scenario scenario = RandomScenario(seed, 3 + seed % 20, Millis(45'000));
