--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -15,6 +15,7 @@
 // Between two looks at a suspicion that the guard against mass change holds.
 constexpr FleetTime kLookAgain{500};
 constexpr FleetTime kLeastHold{50};
+constexpr std::size_t kMuchNews = 20;
 constexpr std::size_t kOutcomes = 10;
 // A node whose name others keep taking for a greater life raises its own at most so often, and says so then.
 constexpr FleetTime kRaiseEach{1'000};
@@ -796,7 +797,8 @@
 
 void Membership::TickGossip(FleetTime now) {
   if (now < next_gossip_) return;
-  next_gossip_ = now + options_.gossip;
+  // Twice as often while there is more to tell than a message holds, as behind a cut of many.
+  next_gossip_ = now + options_.gossip * (queue_.size() > kMuchNews ? 0.5 : 1);
   if (queue_.empty() && self_left_ == 0) return;
   if (self_left_ > 0) --self_left_;
   for (std::size_t i = 0; i < options_.gossip_to; ++i) {
