--- a/tests/lab/sim_test.cpp
+++ b/tests/lab/sim_test.cpp
@@ -70,6 +70,42 @@
   return name;
 });
 
+// The auditor reads what nodes tell, and finds what is planted there.
+TEST(Simulated, TheAuditorFindsPlantedMistakes) {
+  Scenario scenario = FleetOf(8, 25);
+  Fault kill;
+  kill.at = Millis(8'000);
+  kill.do_ = Do::kKill;
+  kill.who = ParseWho("node:3");
+  scenario.faults = {kill};
+  using Tamper = std::function<void(std::size_t, decide::PeerMessage&)>;
+  const auto broken = [&](const Tamper& tamper) {
+    SimOptions options;
+    options.tamper = tamper;
+    const SimResult result = Simulate(scenario, options);
+    return result.violations.empty() ? std::string() : result.violations.front().what;
+  };
+  EXPECT_EQ(broken({}), "");
+  // One node brings back whom it told as gone.
+  EXPECT_NE(broken([](std::size_t node, decide::PeerMessage& message) {
+              for (decide::MemberRecord& record : message.records) {
+                if (node == 1 && record.belief == decide::Belief::kGone && message.number % 2 == 0)
+                  record.belief = decide::Belief::kAlive;
+              }
+            }).find("brings back n3"),
+            std::string::npos);
+  // One raises an incarnation that is not its own.
+  EXPECT_NE(broken([](std::size_t node, decide::PeerMessage& message) {
+              if (node == 2 && message.records.size() > 1) message.records[1].version.incarnation += 9;
+            }).find("n2 raises the version of"),
+            std::string::npos);
+  // One makes its messages longer than the link takes.
+  EXPECT_NE(broken([](std::size_t node, decide::PeerMessage& message) {
+              if (node == 5) message.parcels.push_back({1, std::string(2'000, 'x')});
+            }).find("n5 sends"),
+            std::string::npos);
+}
+
 // A suspicion behind a hold was due at the moment of its own look, by rounding: the look came again without
 // end.
 TEST(Simulated, ALookAtAMomentIsOver) {
