Take out three guards of the members' decisions that nothing needs; one fuzzer of bytes, one fleet

Need: each line of a decision is to be missed when it is gone. Seen: of 17 lines taken out one by one, six broke no test.

Change: own failed probes, the wait for younger suspicions and the doubts at a suspicion's end are gone from the code and the design; who leaves by others' word has a test. Tests: tests/fuzz_bytes.h and tests/fuzz.sh for both fuzz targets, tests/lab/fleet_of.h for both rigs.

--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -16,7 +16,6 @@
 constexpr FleetTime kLookAgain{500};
 constexpr FleetTime kLeastHold{50};
 constexpr std::size_t kMuchNews = 20;
-constexpr std::size_t kOutcomes = 10;
 // A node whose name others keep taking for a greater life raises its own at most so often, and says so then.
 constexpr FleetTime kRaiseEach{1'000};
 constexpr int kRaisesOfAName = 3;
@@ -363,9 +362,6 @@
   const bool fresh = member.record.belief != Belief::kSuspect;
   if (fresh) {
     ++counts_.suspicions;
-    while (suspected_.size() >= 8) suspected_.pop_front();
-    suspected_.push_back(now);
-    member.waited = FleetTime(0);
     member.not_before = FleetTime(0);
     member.asked = false;
     MemberRecord record = member.record;
@@ -422,46 +418,23 @@
   }
 }
 
-void Membership::Ended(FleetTime now, const std::string& name, bool answered) {
-  std::erase_if(outcomes_, [&](const Outcome& outcome) { return outcome.name == name; });
-  outcomes_.push_back({now, name, answered});
-  if (outcomes_.size() > kOutcomes) outcomes_.pop_front();
-}
-
-// Whether too many others than this one do not answer this node, either.
-bool Membership::ProbesFail(FleetTime now, const Member& but) const {
-  std::size_t all = 0, failed = 0;
-  for (const Outcome& outcome : outcomes_) {
-    if (outcome.name == but.record.name || now - outcome.at > options_.suspicion * 2) continue;
-    ++all;
-    failed += outcome.answered ? 0 : 1;
-  }
-  return failed >= 2 && static_cast<double>(failed) > options_.mass_share * static_cast<double>(all);
-}
-
 // Guards against a cut, on this side or on that, which looks as if many others had ended.
-Membership::Gate Membership::MayGo(FleetTime now, const Member& member) const {
-  const std::size_t silent = suspects_ + dropped_.size();
-  const double known = static_cast<double>(1 + alive_ + suspects_ + dropped_.size());
-  // What one lost peer is of a small fleet says nothing about the link of this node.
-  const bool many =
-      (silent >= 2 && static_cast<double>(silent) > options_.mass_share * known) || ProbesFail(now, member);
+bool Membership::MayGo(FleetTime now, const Member& member) const {
   const std::size_t wanted = std::min(options_.mass_heard, size() - 2);
   std::size_t heard = 0;
   for (const auto& [at, name] : heard_) heard += at > member.since && name != member.record.name ? 1 : 0;
-  if (heard < wanted) return Gate::kHold;
+  if (heard < wanted) return false;
+  // What one lost peer is of a small fleet says nothing about the link of this node.
+  const std::size_t silent = suspects_ + dropped_.size();
+  const double known = static_cast<double>(1 + alive_ + suspects_ + dropped_.size());
+  const bool many = silent >= 2 && static_cast<double>(silent) > options_.mass_share * known;
   // Held for long while others are heard: it is they who are gone.
-  if (many) return held_ > 0 && now - held_since_ > options_.hold_most ? Gate::kGo : Gate::kHold;
-  if (member.held || member.waited >= options_.suspicion) return Gate::kGo;
-  const std::size_t fresh = static_cast<std::size_t>(std::count_if(
-      suspected_.begin(), suspected_.end(), [&](FleetTime at) { return now - at < options_.mass_settle; }));
-  return fresh >= 2 ? Gate::kWait : Gate::kGo;
+  return !many || (held_ > 0 && now - held_since_ > options_.hold_most);
 }
 
 void Membership::Hold(FleetTime now, Member& member, FleetTime until, bool ask) {
   // Guards against a look that comes again at the same moment, without end: a sum of times may round to now.
   until = std::max(until, now + kLeastHold);
-  member.waited += until - now;
   SetDeadline(member, until, ask);
 }
 
@@ -471,9 +444,7 @@
     // By others' word. It goes through the same gate.
     Suspect(now, member, self_.name);
   }
-  const Gate gate = MayGo(now, member);
-  if (gate == Gate::kWait) return Hold(now, member, now + kLookAgain / 2, false);
-  if (gate == Gate::kHold) {
+  if (!MayGo(now, member)) {
     if (held_ == 0) {
       held_since_ = now;
       Say("cut-off", {}, static_cast<double>(suspects_));
@@ -488,7 +459,6 @@
       SetHeld(member, false);
       if (held_ == 0) Say("heard-again", {}, (now - held_since_).count());
     }
-    member.waited = FleetTime(0);
     return Hold(now, member, held_last_ + options_.suspicion, true);
   }
   MemberRecord record = member.record;
@@ -504,9 +474,7 @@
 void Membership::TickSuspicions(FleetTime now) {
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     Member& member = *Find(deadlines_.begin()->second);
-    if (now < doubts_until_) {
-      Hold(now, member, doubts_until_ + options_.last_word, true);
-    } else if (!member.asked) {
+    if (!member.asked) {
       // It may have refuted long ago, with the word lost on the way here. Whoever can answers this one.
       SetDeadline(member, member.deadline, false);
       PeerMessage ping = Compose(MessageKind::kPing, ++last_number_);
@@ -632,7 +600,6 @@
       if (probe_ && !probe_->answered && message.number == probe_->number &&
           message.subject == probe_->name) {
         probe_->answered = true;
-        Ended(now, probe_->name, true);
         Health(-1);
       }
       const auto helped = std::find_if(helped_.begin(), helped_.end(), [&](const Helped& h) {
@@ -748,7 +715,6 @@
     Health(probe_->asked_of > probe_->nacks ? static_cast<int>(probe_->asked_of - probe_->nacks)
                                             : (probe_->asked_of == 0 ? 1 : 0));
     Member* target = Find(probe_->name);
-    Ended(now, probe_->name, false);
     if (target != nullptr && Here(target->record.belief) && now >= doubts_until_) {
       Suspect(now, *target, self_.name);
     }
--- a/src/decide/membership.h
+++ b/src/decide/membership.h
@@ -127,7 +127,6 @@
   FleetTime deaf{2'000};       // Nobody heard for so long, though some are known: it was this node's link.
   double mass_share = 0.4;     // More than this share is never dropped within ...
   FleetTime mass_window{10'000};
-  FleetTime mass_settle{1'250};  // While two more suspicions are younger, what they come to is waited for.
   std::size_t mass_heard = 3;  // Nor anybody, before so many others (or all) were heard since it fell silent;
   FleetTime hold_most{60'000};  // ... but after so long, if somebody else is heard.
   FleetTime forget{600'000};    // What is gone is no longer listed.
@@ -207,7 +206,6 @@
     FleetTime due{0};         // In deadlines_.
     bool asked = false;       // Once more, before it goes.
     std::vector<std::string> accusers;
-    FleetTime waited{0};  // Beyond its deadline, for others to settle.
     bool held = false;
     std::optional<QueueKey> queued;
   };
@@ -242,13 +240,10 @@
   void Suspect(FleetTime now, Member& member, const std::string& by);
   void Drop(FleetTime now, Member& member);
   FleetTime Patience(const Member& member) const;
-  enum class Gate { kGo, kWait, kHold };
-  Gate MayGo(FleetTime now, const Member& member) const;
+  bool MayGo(FleetTime now, const Member& member) const;
   void SetDeadline(Member& member, FleetTime deadline, bool ask);
   void Hold(FleetTime now, Member& member, FleetTime until, bool ask);
   void Postpone(FleetTime until);
-  bool ProbesFail(FleetTime now, const Member& but) const;
-  void Ended(FleetTime now, const std::string& name, bool answered);
   void Heard(FleetTime now, Member& member);
   void SetHeld(Member& member, bool held);
   void Queue(Member& member);
@@ -289,13 +284,6 @@
   std::size_t alive_ = 0, suspects_ = 0, held_ = 0;
   std::set<std::pair<FleetTime, std::string>> deadlines_;  // Of suspicions.
   std::deque<FleetTime> dropped_;                          // When others went, within the window.
-  struct Outcome {
-    FleetTime at{0};
-    std::string name;
-    bool answered = false;
-  };
-  std::deque<Outcome> outcomes_;     // Of the last few probes.
-  std::deque<FleetTime> suspected_;  // When the last few suspicions began.
   std::unordered_map<std::string, Version> tombstones_;
   std::deque<std::string> tombstone_order_;
 
--- a/tests/decide/membership_test.cpp
+++ b/tests/decide/membership_test.cpp
@@ -155,6 +155,19 @@
   EXPECT_FALSE(one.members.cut_off());
 }
 
+// Others may tell of it first, and have it as gone already: announced, it is no loss.
+TEST(Membership, ThatManyHaveLeftIsBelievedOfOthersToo) {
+  One one;
+  for (int i = 0; i < 10; ++i) one.Tell(i, {Record("n" + std::to_string(i), 5)});
+  for (int i = 1; i < 10; ++i) {
+    MemberRecord left = Record("n" + std::to_string(i), 5, 1, Belief::kGone);
+    left.phase = MemberPhase::kLeft;
+    one.Tell(20, {Record("n0", 5), left});
+  }
+  EXPECT_EQ(one.members.size(), 2u);
+  EXPECT_FALSE(one.members.cut_off());
+}
+
 // Words in any order and number: what is held never falls, the dropped come back by newer words alone, and
 // all bounds are kept.
 RC_GTEST_PROP(Membership, AnyWordsInAnyOrder, ()) {
--- a/tests/fleet/peers_fuzz.cpp
+++ b/tests/fleet/peers_fuzz.cpp
@@ -1,5 +1,5 @@
 // Fuzz target of what a datagram under the right key may hold: bytes to a message, and the message to a
-// member. With clang: libFuzzer draws the bytes (tests/fleet/fuzz.sh). In every build: seeds and changes to
+// member. With clang: libFuzzer draws the bytes (tests/fuzz.sh peers). In every build: seeds and changes to
 // them.
 #include <cstddef>
 #include <cstdint>
@@ -50,7 +50,8 @@
 
 #ifndef HINGELINK_LIBFUZZER
 #include <cstdio>
-#include <random>
+
+#include "../fuzz_bytes.h"
 
 int main() {
   decide::PeerMessage message;
@@ -65,39 +66,20 @@
   other.belief = decide::Belief::kGone;
   message.records.push_back(other);
   message.parcels = {{1, "budget"}};
-  std::string seeds[4];
-  std::size_t next = 0;
+  std::vector<std::string> seeds;
   for (const auto kind : {decide::MessageKind::kPing, decide::MessageKind::kAskPing,
                           decide::MessageKind::kCompare, decide::MessageKind::kDiffer}) {
     message.kind = kind;
     message.subject = kind == decide::MessageKind::kAskPing ? "n3" : "n1";
     message.digests.assign(kind == decide::MessageKind::kCompare ? decide::kBuckets : 0, 7);
     message.differing.assign(kind == decide::MessageKind::kDiffer ? 3 : 0, 5);
-    seeds[next++] = fleet::Encode(message);
+    seeds.push_back(fleet::Encode(message));
   }
-  std::mt19937_64 draw(20261201);
   std::size_t read = 0;
-  for (int i = 0; i < 30'000; ++i) {
-    std::string bytes = seeds[draw() % 4];
-    for (std::uint64_t changes = draw() % 6; changes > 0 && !bytes.empty(); --changes) {
-      const std::size_t at = draw() % bytes.size();
-      switch (draw() % 4) {
-        case 0:
-          bytes[at] = static_cast<char>(draw());
-          break;
-        case 1:
-          bytes.erase(at, 1 + draw() % 8);
-          break;
-        case 2:
-          bytes.insert(at, 1 + draw() % 8, static_cast<char>(draw()));
-          break;
-        default:
-          bytes[at] = static_cast<char>(bytes[at] ^ 1 << draw() % 8);
-      }
-    }
+  fuzz::Inputs(seeds, [&](const std::string& bytes) {
     read += fleet::Decode(bytes) ? 1 : 0;
     LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-  }
+  });
   std::printf("peers_fuzz: 30000 inputs, %zu of them messages\n", read);
   return read > 1000 ? 0 : 1;
 }
--- a/tests/lab/rig_test.cpp
+++ b/tests/lab/rig_test.cpp
@@ -7,16 +7,14 @@
 
 #include "cli/lab_rig.h"
 #include "cli/process.h"
+#include "fleet_of.h"
 
 namespace hingelink::lab {
 namespace {
 
-Scenario FleetOf(std::size_t nodes, double seconds) {
-  Scenario scenario;
-  scenario.name = testing::UnitTest::GetInstance()->current_test_info()->name();
-  scenario.length = Millis(seconds * 1000);
-  scenario.fleet.nodes = nodes;
-  scenario.fleet.zones = {"a", "b", "c"};
+// Under load.
+Scenario LoadedFleetOf(std::size_t nodes, double seconds) {
+  Scenario scenario = FleetOf(nodes, seconds);
   scenario.load = {{Millis(0), 0.3}};
   return scenario;
 }
@@ -55,7 +53,7 @@
 }
 
 TEST(Rig, ANodeThatHearsNobodyHoldsItsViewAndServesOn) {
-  Scenario scenario = FleetOf(6, 18);
+  Scenario scenario = LoadedFleetOf(6, 18);
   scenario.faults = {FaultOf(2'000, Do::kCut, "rest", "node:3", 9'000)};
   scenario.faults[0].both = false;
   scenario.assertions = {Must(Check::kCutOffSaid, 0, "node:3"), Must(Check::kNobodyGone, 0, "nodes:4-5"),
@@ -67,7 +65,7 @@
 }
 
 TEST(Rig, AKillIsKnownAndANewLifeUnderTheSameNameTakesItsPlace) {
-  Scenario scenario = FleetOf(6, 22);
+  Scenario scenario = LoadedFleetOf(6, 22);
   scenario.faults = {FaultOf(1'500, Do::kKill, "node:1"), FaultOf(12'000, Do::kKill, "nodes:2-3")};
   scenario.faults[1].restart = Millis(200);
   scenario.assertions = {Must(Check::kGoneKnown, 10'000), Must(Check::kAgree, 6'000),
@@ -79,7 +77,7 @@
 }
 
 TEST(Rig, OneThatStoodStillAccusesNobody) {
-  Scenario scenario = FleetOf(6, 18);
+  Scenario scenario = LoadedFleetOf(6, 18);
   scenario.faults = {FaultOf(1'500, Do::kFreeze, "node:0", "all", 9'000)};
   scenario.assertions = {Must(Check::kNobodyGone, 0, "nodes:1-5"), Must(Check::kAgree, 6'000)};
   const RigResult result = Play(scenario);
@@ -87,7 +85,7 @@
 }
 
 TEST(Rig, TwoThirdsThatEndAtOnceAreNotDropped) {
-  Scenario scenario = FleetOf(9, 14);
+  Scenario scenario = LoadedFleetOf(9, 14);
   scenario.faults = {FaultOf(1'500, Do::kKill, "nodes:0-5")};
   scenario.assertions = {Must(Check::kNoneDropped), Must(Check::kCutOffSaid, 0, "nodes:6-8")};
   const RigResult result = Play(scenario);
@@ -95,7 +93,7 @@
 }
 
 TEST(Rig, DatagramsTwiceLateAndLostChangeNothing) {
-  Scenario scenario = FleetOf(6, 14);
+  Scenario scenario = LoadedFleetOf(6, 14);
   scenario.faults = {FaultOf(1'000, Do::kDuplicate, "nodes", "nodes", 9'000),
                      FaultOf(1'000, Do::kReorder, "nodes", "nodes", 9'000),
                      FaultOf(1'000, Do::kLoss, "nodes", "nodes", 9'000)};
@@ -109,7 +107,7 @@
 
 // The rig itself: what does not hold is told, and what the relays do to connections is seen by the stand-ins.
 TEST(Rig, WhatDoesNotHoldIsTold) {
-  Scenario scenario = FleetOf(4, 9);
+  Scenario scenario = LoadedFleetOf(4, 9);
   scenario.faults = {FaultOf(500, Do::kCut, "node:0", "rest", 8'000),
                      FaultOf(3'000, Do::kReset, "gateways", "nodes")};
   scenario.assertions = {Must(Check::kCutOffSaid, 0, "node:1"), Must(Check::kWhole),
--- a/tests/lab/sim_test.cpp
+++ b/tests/lab/sim_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <filesystem>
 
+#include "fleet_of.h"
 #include "lab/sim/network.h"
 
 namespace hingelink::lab {
@@ -22,15 +23,6 @@
   }
 }
 
-Scenario FleetOf(std::size_t nodes, double seconds) {
-  Scenario scenario;
-  scenario.name = testing::UnitTest::GetInstance()->current_test_info()->name();
-  scenario.length = Millis(seconds * 1000);
-  scenario.fleet.nodes = nodes;
-  scenario.fleet.zones = {"a", "b", "c"};
-  return scenario;
-}
-
 TEST(Simulated, OneSeedIsOneRunToTheByte) {
   const Scenario scenario = RandomScenario(3, 20, Millis(40'000));
   const SimResult one = Simulate(scenario), two = Simulate(scenario);
--- a/tests/state/learned_fuzz.cpp
+++ b/tests/state/learned_fuzz.cpp
@@ -1,5 +1,5 @@
-// Fuzz target of the reader of what was learned. With clang: libFuzzer draws the bytes (tests/state/fuzz.sh).
-// In every build: seeds and a bounded number of changes to them, drawn from a fixed seed.
+// Fuzz target of the reader of what was learned. With clang: libFuzzer draws the bytes (tests/fuzz.sh
+// learned). In every build: seeds and a bounded number of changes to them, drawn from a fixed seed.
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
@@ -34,7 +34,8 @@
 
 #ifndef HINGELINK_LIBFUZZER
 #include <cstdio>
-#include <random>
+
+#include "../fuzz_bytes.h"
 
 int main() {
   using namespace hingelink;
@@ -43,29 +44,12 @@
   Learned learned;
   learned.classes = {{"view", 31.5, 30, 28, 900}, {"save", 45, 44, 0, 40}};
   const state::Stored stored{7, decide::Remember("shire-1", std::chrono::hours(500'000), settings, learned)};
-  const std::string seeds[] = {state::EncodeLearned(stored, false), state::EncodeLearned(stored, true),
-                               state::EncodeLearned(stored, false).substr(24)};
-  std::mt19937_64 draw(20261201);
-  for (int i = 0; i < 30'000; ++i) {
-    std::string bytes = seeds[draw() % 3];
-    for (std::uint64_t changes = draw() % 6; changes > 0 && !bytes.empty(); --changes) {
-      const std::size_t at = draw() % bytes.size();
-      switch (draw() % 4) {
-        case 0:
-          bytes[at] = static_cast<char>(draw());
-          break;
-        case 1:
-          bytes.erase(at, 1 + draw() % 8);
-          break;
-        case 2:
-          bytes.insert(at, 1 + draw() % 8, static_cast<char>(draw()));
-          break;
-        default:
-          bytes[at] = static_cast<char>(bytes[at] ^ 1 << draw() % 8);
-      }
-    }
+  const std::vector<std::string> seeds = {state::EncodeLearned(stored, false),
+                                          state::EncodeLearned(stored, true),
+                                          state::EncodeLearned(stored, false).substr(24)};
+  fuzz::Inputs(seeds, [](const std::string& bytes) {
     LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-  }
+  });
   std::puts("learned_fuzz: 30000 inputs");
 }
 #endif
