--- a/src/lab/rig/rig.cpp
+++ b/src/lab/rig/rig.cpp
@@ -138,9 +138,8 @@
   struct Kill {
     std::size_t node = 0;
     Millis at{0};
-    bool open = true;
     std::set<std::size_t> knows;
-    RigResult::Kill times;
+    KillTimes times;
   };
 
   Millis Now() const { return Millis(Steady::now() - began_); }
@@ -238,7 +237,7 @@
     node.wanted = true;
     node.frozen = false;
     node.began = Now();
-    for (Kill& kill : kills_) kill.open = kill.open && kill.node != i;
+    for (Kill& kill : kills_) kill.times.open = kill.times.open && kill.node != i;
   }
 
   void End(std::size_t i) {
@@ -404,12 +403,8 @@
           }
         }
         for (Kill& kill : kills_) {
-          if (!kill.open || kill.node != about || !kill.knows.insert(i).second) continue;
-          const Millis after = at - kill.at;
-          const auto known = static_cast<double>(kill.knows.size()), all = static_cast<double>(live);
-          if (kill.times.first.count() < 0) kill.times.first = after;
-          if (kill.times.half.count() < 0 && known >= all / 2) kill.times.half = after;
-          if (kill.times.most.count() < 0 && known >= all * 0.99) kill.times.most = after;
+          if (!kill.times.open || kill.node != about || !kill.knows.insert(i).second) continue;
+          kill.times.Learn(kill.knows.size(), live, at - kill.at);
         }
       }
     }
@@ -498,10 +493,16 @@
     if (live > 0) result_.rss_mb = rss / static_cast<double>(live);
     for (const Kill& kill : kills_) result_.kills.push_back(kill.times);
     result_.cut_off.assign(cut_off_.begin(), cut_off_.end());
-    Judge();
+    std::vector<bool> was_cut_off;
+    for (const Node& node : nodes_) was_cut_off.push_back(cut_off_.contains(node.name));
+    for (const std::string& wrong :
+         Judge(scenario_, {result_.bytes_a_second, result_.kills, was_cut_off}, options_.look_each)) {
+      Violate(wrong);
+    }
+    JudgeAccount();
   }
 
-  void Judge() {
+  void JudgeAccount() {
     const standin::ClassAccount& account = result_.account;
     for (const Assertion& assertion : scenario_.assertions) {
       switch (assertion.what) {
@@ -520,26 +521,6 @@
           if (share < assertion.least) Violate("served in time: " + std::to_string(share));
           break;
         }
-        case Check::kBytes:
-          if (result_.bytes_a_second > assertion.most)
-            Violate(std::to_string(std::lround(result_.bytes_a_second)) + " bytes a second and node");
-          break;
-        case Check::kGoneKnown:
-          for (const Kill& kill : kills_) {
-            const Millis took = assertion.share > 0.5 ? kill.times.most : kill.times.half;
-            if (kill.open && (took.count() < 0 || took > assertion.within + options_.look_each))
-              Violate("the end of " + kill.times.node + " was known after " +
-                      std::to_string(std::lround(took.count())) + " ms");
-          }
-          break;
-        case Check::kCutOffSaid: {
-          const std::vector<bool> who = NodesOf(scenario_, *assertion.who);
-          for (std::size_t i = 0; i < count_; ++i) {
-            if (who[i] && !cut_off_.contains(nodes_[i].name))
-              Violate(nodes_[i].name + " never said that it is cut off");
-          }
-          break;
-        }
         default:
           break;
       }
@@ -617,7 +598,7 @@
       {"cut_off", cut_off},
       {"crashed", crashed}};
   json["kills"] = nlohmann::ordered_json::array();
-  for (const Kill& kill : kills) {
+  for (const KillTimes& kill : kills) {
     json["kills"].push_back({{"node", kill.node},
                              {"first_ms", Round(kill.first.count())},
                              {"half_ms", Round(kill.half.count())},
--- a/src/lab/rig/rig.h
+++ b/src/lab/rig/rig.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "lab/rig/relay.h"
+#include "lab/scenario/judge.h"
 #include "lab/scenario/scenario.h"
 #include "standin/gateways.h"
 
@@ -55,11 +56,7 @@
   standin::ClassAccount account;
   double median_ms = 0, p99_ms = 0;
   RelayCounts relay;
-  struct Kill {
-    std::string node;
-    Millis first{-1}, half{-1}, most{-1};  // As in simulated time, by looks.
-  };
-  std::vector<Kill> kills;
+  std::vector<KillTimes> kills;      // By looks.
   std::vector<Millis> agreed_after;  // Behind the end of each fault.
   std::vector<std::string> cut_off;  // Nodes that said so.
   double bytes_a_second = 0;         // Of a node, to other nodes.
--- a/src/lab/sim/network.cpp
+++ b/src/lab/sim/network.cpp
@@ -106,9 +106,7 @@
   };
   struct Kill {
     std::size_t node = 0;
-    Version version;
     Millis at{0};
-    bool open = true;
     std::vector<bool> knows;
     std::size_t known = 0;
     KillTimes times;
@@ -242,7 +240,7 @@
     node.membership = std::make_unique<Membership>(options_.membership, std::move(self), std::move(seeds),
                                                    [&node] { return node.draw(); });
     for (Kill& kill : kills_) {
-      if (kill.node == i) kill.open = false;
+      if (kill.node == i) kill.times.open = false;
     }
     Tick(i);
   }
@@ -251,8 +249,8 @@
     Node& node = nodes_[i];
     if (!node.membership) return;
     Kill kill;
-    kill.node = kill.times.node = i;
-    kill.version = node.membership->self().version;
+    kill.node = i;
+    kill.times.node = NameOfNode(i);
     kill.at = now_;
     kill.knows.assign(nodes_.size(), false);
     kills_.push_back(std::move(kill));
@@ -338,15 +336,9 @@
       }
     }
     for (Kill& kill : kills_) {
-      if (!kill.open || kill.node != about || kill.knows[i]) continue;
+      if (!kill.times.open || kill.node != about || kill.knows[i]) continue;
       kill.knows[i] = true;
-      ++kill.known;
-      const Millis after = now_ - kill.at;
-      const auto live = static_cast<double>(Live());
-      if (kill.known == 1) kill.times.first = after;
-      if (kill.times.half.count() < 0 && static_cast<double>(kill.known) >= live / 2) kill.times.half = after;
-      if (kill.times.most.count() < 0 && static_cast<double>(kill.known) >= live * 0.99)
-        kill.times.most = after;
+      kill.times.Learn(++kill.known, Live(), now_ - kill.at);
     }
   }
 
@@ -501,36 +493,16 @@
     }
     if (lived.count() > 0) result_.bytes_a_second = static_cast<double>(result_.bytes) * 1000 / lived.count();
     for (const Kill& kill : kills_) result_.kills.push_back(kill.times);
+    for (const std::string& wrong :
+         Judge(scenario_, {result_.bytes_a_second, result_.kills, result_.was_cut_off})) {
+      Violate(wrong);
+    }
     for (const Assertion& assertion : scenario_.assertions) {
-      switch (assertion.what) {
-        case Check::kBytes:
-          if (result_.bytes_a_second > assertion.most)
-            Violate(std::to_string(std::lround(result_.bytes_a_second)) + " bytes a second and node");
-          break;
-        case Check::kGoneKnown:
-          for (const Kill& kill : kills_) {
-            const Millis took = assertion.share > 0.5 ? kill.times.most : kill.times.half;
-            if (kill.open && (took.count() < 0 || took > assertion.within))
-              Violate("the end of " + NameOfNode(kill.node) + " was known after " +
-                      std::to_string(std::lround(took.count())) + " ms");
-          }
-          break;
-        case Check::kFalse: {
-          const double hours = lived.count() / 3.6e6;
-          if (hours > 0 && static_cast<double>(result_.suspicions) / hours > assertion.most)
-            Violate(std::to_string(result_.suspicions) + " suspicions in " + std::to_string(hours) +
-                    " node hours");
-          break;
-        }
-        case Check::kCutOffSaid: {
-          const std::vector<bool> who = NodesOf(scenario_, *assertion.who);
-          for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            if (who[i] && !result_.was_cut_off[i]) Violate(NameOfNode(i) + " never said that it is cut off");
-          }
-          break;
-        }
-        default:
-          break;
+      const double hours = lived.count() / 3.6e6;
+      if (assertion.what == Check::kFalse && hours > 0 &&
+          static_cast<double>(result_.suspicions) / hours > assertion.most) {
+        Violate(std::to_string(result_.suspicions) + " suspicions in " + std::to_string(hours) +
+                " node hours");
       }
     }
   }
--- a/src/lab/sim/network.h
+++ b/src/lab/sim/network.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "decide/membership.h"
+#include "lab/scenario/judge.h"
 #include "lab/scenario/scenario.h"
 
 namespace hingelink::lab {
@@ -22,12 +23,6 @@
   std::string what;
 };
 
-// What became of one kill: how long until so many of the others that live held it as gone.
-struct KillTimes {
-  std::size_t node = 0;
-  Millis first{-1}, half{-1}, most{-1};  // `most`: 99 in 100. -1: never, before it came back.
-};
-
 struct SimResult {
   std::vector<Violation> violations;  // At most 20; `broken` counts all.
   std::size_t broken = 0;
