--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -28,36 +28,6 @@
   return scenario;
 }
 
-nlohmann::ordered_json ToJson(const lab::Scenario& scenario, const lab::SimResult& r) {
-  nlohmann::ordered_json json = {{"scenario", scenario.name},
-                                 {"seed", scenario.seed},
-                                 {"broken", r.broken},
-                                 {"messages", r.messages},
-                                 {"bytes_a_second", std::lround(r.bytes_a_second)},
-                                 {"most_bytes_a_second", std::lround(r.most_bytes_a_second)},
-                                 {"most_message", r.most_message},
-                                 {"most_queued", r.most_queued},
-                                 {"suspicions", r.suspicions},
-                                 {"withdrawn", r.withdrawn},
-                                 {"gone", r.gone},
-                                 {"false_gone", r.false_gone},
-                                 {"digest", r.digest}};
-  json["violations"] = nlohmann::ordered_json::array();
-  for (const lab::Violation& v : r.violations)
-    json["violations"].push_back({{"at_ms", v.at.count()}, {"what", v.what}});
-  json["kills"] = nlohmann::ordered_json::array();
-  for (const lab::KillTimes& k : r.kills) {
-    json["kills"].push_back({{"node", k.node},
-                             {"first_ms", std::lround(k.first.count())},
-                             {"half_ms", std::lround(k.half.count())},
-                             {"most_ms", std::lround(k.most.count())}});
-  }
-  json["agreed_after_ms"] = nlohmann::ordered_json::array();
-  for (const lab::Millis& after : r.agreed_after)
-    json["agreed_after_ms"].push_back(std::lround(after.count()));
-  return json;
-}
-
 int Simulate(const LabOptions& options) {
   lab::Scenario scenario = Read(options);
   std::size_t broken = 0;
@@ -72,7 +42,7 @@
     const lab::SimResult result = lab::Simulate(scenario, sim);
     broken += result.broken;
     if (options.json) {
-      std::printf("%s\n", ToJson(scenario, result).dump().c_str());
+      std::printf("%s\n", result.Json().dump().c_str());
     } else {
       std::printf("%s seed %llu: %zu violations, %ld bytes/s a node, %llu suspicions, %llu gone\n",
                   scenario.name.c_str(), static_cast<unsigned long long>(scenario.seed), result.broken,
@@ -193,6 +163,7 @@
   replay->add_option("seed", options->seed, "The seed")->required();
   replay->add_flag("--shrink", options->shrink, "Take away what it fails without");
   replay->add_option("--out", options->out, "Write the schedule to this file");
+  AddLabSeries(*lab, status);
   for (CLI::App* one : {hunt, replay}) {
     one->add_option("--nodes", options->nodes, "Of the fleet")->capture_default_str();
     one->add_option("--seconds", options->seconds, "Of a run")->capture_default_str();
--- a/src/cli/lab_rig.cpp
+++ b/src/cli/lab_rig.cpp
@@ -10,7 +10,7 @@
   lab::RigOptions rig;
   rig.program = program;
   rig.folder = folder;
-  rig.peer_key = net::NewPeerKey();
+  rig.new_key = net::NewPeerKey;
   rig.classes = SampleLoad();
   rig.capacity = SampleCapacity;
   rig.node_config = [](int cores, std::size_t gateways) {
--- a/src/console/compose.cpp
+++ b/src/console/compose.cpp
@@ -115,14 +115,42 @@
   return line;
 }
 
+void AddMembers(Page& page, const View& view, bool utf8) {
+  if (!view.fleet) {
+    page.Add(" this node was started without peers", Style::kDim);
+    return;
+  }
+  page.Add(
+      Fit(" member", 17) + Fit("state", 9) + Fit("heard", 9) + Fit("phase", 9) + Fit("zone", 9) + "address",
+      Style::kHead);
+  std::size_t shown = 0;
+  for (const View::Member& m : view.members) {
+    // One line is for what finds no place.
+    if (page.left() <= 1 && shown + 1 < view.members.size()) break;
+    const bool bad = m.held || m.state == "gone";
+    page.Add(' ' + Fit(Safe(m.name, utf8), 15) + ' ' + Fit(m.held ? "HELD" : m.state, 8) + ' ' +
+                 Fit(m.heard_ms < 0 ? "-" : Span(m.heard_ms), 8) + ' ' + Fit(m.phase, 8) + ' ' +
+                 Fit(Safe(m.zone, utf8), 8) + ' ' + Safe(m.address, utf8),
+             bad                    ? Style::kBad
+             : m.state == "suspect" ? Style::kWarn
+                                    : Style::kPlain);
+    ++shown;
+  }
+  if (shown < view.members.size())
+    page.Add(
+        "  and " + std::to_string(view.members.size() - shown) + " more; hingelink fleet members has all",
+        Style::kDim);
+}
+
 std::vector<Line> Help(std::size_t width, std::size_t height) {
   Page page(width, height);
   page.Add(" hingelink console: help", Style::kTitle);
   for (const char* line :
        {" q  leave the console; the node goes on", " d  drain: the node answers all it has read,",
         "    takes nothing new, and ends", " p  hold the picture still; the node goes on",
-        " f  which classes are shown: all, busy, trouble", " h  this page, and back",
-        " held: wait to be run.  run: with the pool.", " srv, ref, fai: answers a second, mean of 5 s"}) {
+        " f  which classes are shown: all, busy, trouble", " m  the other nodes of the fleet, and back",
+        " h  this page, and back", " held: wait to be run.  run: with the pool.",
+        " srv, ref, fai: answers a second, mean of 5 s"}) {
     page.Add(line);
   }
   return page.Take();
@@ -203,7 +231,8 @@
   if (view.drain && (stand.ask_drain || !stand.notice.empty())) {
     page.Add(DrainLine(*view.drain, width, stand.utf8), Style::kWarn);
   }
-  if (view.reached) {
+  if (stand.members) AddMembers(page, view, stand.utf8);
+  if (view.reached && !stand.members) {
     // Classes come first; gateways and log share what is left.
     const std::size_t gateways = height >= 16 && !view.gateways.empty()
                                      ? std::min<std::size_t>(view.gateways.size(), height / 6) + 1
@@ -235,7 +264,7 @@
   }
   std::vector<Line> lines = page.Take();
   std::string keys = std::string(" q quit") + (stand.can_drain ? "  d drain" : "") + "  p pause  f " +
-                     FilterName(stand.filter) + "  h help";
+                     FilterName(stand.filter) + (view.fleet ? "  m members" : "") + "  h help";
   lines.push_back({Fit(keys, width), Style::kKeys});
   return lines;
 }
--- a/src/console/compose.h
+++ b/src/console/compose.h
@@ -25,6 +25,7 @@
   bool utf8 = false;
   bool paused = false;
   bool help = false;
+  bool members = false;    // The page of the other nodes.
   bool ask_drain = false;  // The question is on the screen.
   Filter filter = Filter::kAll;
   std::string notice;  // One line: what a command came to, or why there is no node.
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -29,6 +29,7 @@
 
 // Between two drawings, whatever asks for them: a storm of new sizes, keys held down.
 constexpr auto kDrawEach = 100ms;
+constexpr auto kMembersEach = 1s;
 constexpr auto kConnectAgain = 500ms;
 constexpr auto kNoticeFor = 5s;
 
@@ -102,6 +103,16 @@
   return "not drained: nobody answers";
 }
 
+// What is wrong, or nothing.
+std::string TakeMembers(const Options& options, Model& model) {
+  try {
+    model.TakeMembers(control::Client(options.socket).Call("members", nlohmann::json::object(), 500ms));
+  } catch (const std::exception& fault) {
+    return fault.what();
+  }
+  return {};
+}
+
 int Once(const Options& options) {
   Model model;
   try {
@@ -224,7 +235,7 @@
   stand.utf8 = Utf8();
   std::string why;
   std::string said;
-  Clock::time_point said_until{}, drawn{};
+  Clock::time_point said_until{}, drawn{}, asked{};
   std::optional<View> held_still;
   bool dirty = true;
   for (;;) {
@@ -247,6 +258,10 @@
       if (key == 'q' || key == 'Q') return 0;
       if (key == 'd') stand.ask_drain = stand.can_drain;
       if (key == 'h' || key == '?') stand.help = !stand.help;
+      if (key == 'm') {
+        stand.members = !stand.members;
+        asked = {};
+      }
       if (key == 'f') stand.filter = static_cast<Filter>((static_cast<int>(stand.filter) + 1) % 3);
       if (key == 'p') {
         stand.paused = !stand.paused;
@@ -256,6 +271,14 @@
     }
     dirty = watch.Take(model, why) || dirty;
     const Clock::time_point now = Clock::now();
+    if (stand.members && !stand.paused && now - asked >= kMembersEach) {
+      asked = now;
+      if (const std::string wrong = TakeMembers(options, model); !wrong.empty() && why.empty()) {
+        said = wrong;
+        said_until = now + kMembersEach;
+      }
+      dirty = true;
+    }
     if (!said.empty() && now >= said_until) {
       said.clear();
       dirty = true;
--- a/src/console/model.cpp
+++ b/src/console/model.cpp
@@ -65,6 +65,24 @@
                 [&](const auto& h) { return FindBy(snapshot["classes"], "name", h.first) == nullptr; });
 }
 
+void Model::TakeMembers(const Json& members) {
+  members_.clear();
+  if (!members.contains("members")) return;
+  for (const Json& one : members["members"]) {
+    members_.push_back({one.value("name", ""), one.value("address", ""), one.value("state", ""),
+                        one.value("phase", ""), one.value("zone", ""), one.value("held", false),
+                        one.value("heard_ms", -1.0)});
+  }
+  // Held and suspect ones first, then those that are gone: with hundreds of members the page has no room for
+  // more.
+  const auto rank = [](const View::Member& m) {
+    return m.held ? 0 : m.state == "suspect" ? 1 : m.state == "gone" ? 2 : 3;
+  };
+  std::stable_sort(members_.begin(), members_.end(), [&rank](const View::Member& a, const View::Member& b) {
+    return rank(a) != rank(b) ? rank(a) < rank(b) : a.name < b.name;
+  });
+}
+
 View Model::Show(double now) const {
   View view;
   if (samples_.empty()) return view;
@@ -154,6 +172,7 @@
           {loop.value("connections", std::uint64_t{0}), loop.value("busy", 0.0), loop.value("hung", false)});
     }
   }
+  view.members = members_;
   if (json.contains("fleet")) {
     const Json& fleet = json["fleet"];
     view.fleet = View::Fleet{fleet.value("alive", std::uint64_t{0}), fleet.value("suspect", std::uint64_t{0}),
--- a/src/console/model.h
+++ b/src/console/model.h
@@ -49,6 +49,13 @@
     bool cut_off = false, linked = false;
   };
   std::optional<Fleet> fleet;
+  // Of the members' page, those that need a look first.
+  struct Member {
+    std::string name, address, state, phase, zone;
+    bool held = false;
+    double heard_ms = -1;  // Since it was last heard itself; below 0: never.
+  };
+  std::vector<Member> members;
   bool pool_good = false, registry_good = false;
   std::string pool_address, registry_address;
   std::optional<double> pool_busy;
@@ -71,6 +78,8 @@
   // A snapshot that came now. One of another process starts anew: its counts begin at 0.
   void Take(const nlohmann::json& snapshot, double now_ms);
   View Show(double now_ms) const;
+  // What `members` answers.
+  void TakeMembers(const nlohmann::json& members);
 
  private:
   struct Sample {
@@ -85,6 +94,7 @@
   std::vector<std::pair<std::string, History>> histories_;
   double step_at_ = 0;
   std::optional<double> drain_of_;
+  std::vector<View::Member> members_;
 };
 
 }  // namespace hingelink::console
--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -16,6 +16,8 @@
 constexpr FleetTime kLookAgain{500};
 constexpr FleetTime kLeastHold{50};
 constexpr std::size_t kMuchNews = 20;
+constexpr std::size_t kFewKnown = 8;
+constexpr double kCrowd = 64, kLeastSent = 3;
 // A node whose name others keep taking for a greater life raises its own at most so often, and says so then.
 constexpr FleetTime kRaiseEach{1'000};
 constexpr int kRaisesOfAName = 3;
@@ -83,6 +85,7 @@
 void Membership::Notice(FleetTime now) {
   if (!started_) {
     started_ = true;
+    began_ = now;
     // Nodes that start together are not to act together.
     const auto part = [this] { return static_cast<double>(Below(1024)) / 1024; };
     next_probe_ = now + options_.period * part();
@@ -218,7 +221,11 @@
 }
 
 unsigned Membership::Limit() const {
-  return static_cast<unsigned>(std::ceil(options_.retransmit * std::log(static_cast<double>(size()) + 1)));
+  const double most = std::ceil(options_.retransmit * std::log(static_cast<double>(size()) + 1));
+  // Guards against a start or a heal of hundreds that fills the link for as long as each word is sent on as
+  // often as a single one: where there are many words, many nodes tell each, and comparing finds the rest.
+  const double crowd = std::max(1.0, static_cast<double>(queue_.size()) / kCrowd);
+  return static_cast<unsigned>(std::max(kLeastSent, most / crowd));
 }
 
 void Membership::Health(int step) { health_ = std::clamp(health_ + step, 0, options_.worst_health); }
@@ -779,7 +786,14 @@
   next_compare_ = now + options_.compare;
   PeerMessage compare = Compose(MessageKind::kCompare, ++last_number_);
   compare.digests.assign(digests_.begin(), digests_.end());
-  Send(*std::exchange(differs_, std::nullopt), std::move(compare));
+  PeerAddress to = *std::exchange(differs_, std::nullopt);
+  if (now - began_ < options_.young && alive_ > kFewKnown) {
+    // Guards against a start of hundreds that falls on the seeds, which everybody knows first: what these do
+    // not get sent any more are answers, too, and they are suspected for it.
+    const Member* any = Any([](const Member& m) { return m.record.belief == Belief::kAlive; });
+    if (any != nullptr) to = any->record.address;
+  }
+  Send(to, std::move(compare));
 }
 
 void Membership::TickReconnect(FleetTime now) {
--- a/src/decide/membership.h
+++ b/src/decide/membership.h
@@ -121,6 +121,7 @@
   double retransmit = 4;       // Times the logarithm of the members: how often each word is sent on.
   FleetTime compare{1'000};    // Between two comparisons of views, while a peer's differs.
   FleetTime join{400};         // Between two tries to reach a seed, while nobody is known.
+  FleetTime young{10'000};     // Since its start: it compares with any that it knows, not with seeds alone.
   FleetTime reconnect{2'000};  // Between two tries to reach a seed or one that is gone ...
   FleetTime reach{300};        // ... and one that is held.
   FleetTime frozen{1'000};     // No tick for so long: this node itself stood still.
@@ -298,6 +299,7 @@
   std::deque<Helped> helped_;
   std::optional<PeerAddress> differs_;  // A peer whose view is another one.
   bool started_ = false;
+  FleetTime began_{0};
   FleetTime last_seen_{0};                                // Of the clock.
   std::vector<std::pair<FleetTime, std::string>> heard_;  // Who was heard last, the latest first.
   FleetTime next_probe_{0}, next_gossip_{0}, next_compare_{0}, next_reconnect_{0}, next_forget_{0};
--- a/src/lab/rig/relay.cpp
+++ b/src/lab/rig/relay.cpp
@@ -78,6 +78,7 @@
       continue;
     }
     std::string datagram(buffer, static_cast<std::size_t>(bytes));
+    to.last = datagram;
     if (passage.twice) Pass(sender->second, to, datagram, passage.delay * (1 + 3 * host_.chance()));
     Pass(sender->second, to, std::move(datagram), passage.delay);
   }
--- a/src/lab/rig/relay.h
+++ b/src/lab/rig/relay.h
@@ -37,6 +37,8 @@
   DatagramRelay(RelayHost host, const std::vector<std::string>& real, RelayCounts& counts);
   // What the others are to be told as the address of a node.
   std::string address(std::size_t node) const { return ends_[node]->address; }
+  // What came last for a node: for who forges, and has heard the true ones. Empty: nothing yet.
+  const std::string& last(std::size_t node) const { return ends_[node]->last; }
 
  private:
   struct End {
@@ -44,7 +46,7 @@
     std::size_t node = 0;
     net::Descriptor socket;
     net::EventPtr readable;
-    std::string address;
+    std::string address, last;
     sockaddr_in real{};
   };
   void Read(End& to);
--- a/src/lab/rig/rig.cpp
+++ b/src/lab/rig/rig.cpp
@@ -2,10 +2,12 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cmath>
 #include <csignal>
 #include <filesystem>
@@ -63,23 +65,27 @@
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
     pid_ = -1;
+    earlier_seconds_ = cpu_seconds_;
   }
   // Whether it has ended by itself.
   bool Ended() {
     if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
     pid_ = -1;
+    earlier_seconds_ = cpu_seconds_;
     return true;
   }
   bool running() const { return pid_ > 0; }
   void Gather() {
+    if (pid_ <= 0) return;
     std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
     std::string line;
     if (!std::getline(file, line)) return;
     std::istringstream words(line.substr(line.rfind(')') + 2));
     const std::vector<std::string> fields(std::istream_iterator<std::string>(words), {});
     if (fields.size() < 22) return;
-    cpu_seconds_ +=
+    const double seconds =
         (std::stod(fields[11]) + std::stod(fields[12])) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    cpu_seconds_ = earlier_seconds_ + seconds;
     rss_mb_ = std::stod(fields[21]) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
   }
   double cpu_seconds() const { return cpu_seconds_; }
@@ -87,7 +93,39 @@
 
  private:
   pid_t pid_ = -1;
-  double cpu_seconds_ = 0, rss_mb_ = 0;
+  double cpu_seconds_ = 0, earlier_seconds_ = 0, rss_mb_ = 0;
+};
+
+// Sends datagrams that look like true ones, and are not, from a thread of its own, as long as it lives.
+class Forger {
+ public:
+  // `true_one`: what was heard on the way to `target`; one bit of each copy is turned.
+  Forger(std::string true_one, const std::string& target, double rate)
+      : thread_([this, true_one = std::move(true_one), at = net::ParseAddress(target),
+                 rate](const std::stop_token& stop) { Send(true_one, at, rate, stop); }) {}
+  std::uint64_t sent() const { return sent_; }
+
+ private:
+  void Send(const std::string& true_one, sockaddr_in at, double rate, const std::stop_token& stop) {
+    const net::Descriptor out(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+    const Steady::time_point began = Steady::now();
+    std::string datagram = true_one;
+    while (!stop.stop_requested()) {
+      const double wanted = std::chrono::duration<double>(Steady::now() - began).count() * rate;
+      for (; static_cast<double>(sent_) < wanted && !stop.stop_requested(); ++sent_) {
+        // Each another one: neither the key's name nor the length gives it away.
+        char& turned = datagram[4 + sent_ % (datagram.size() - 4)];
+        turned = static_cast<char>(turned ^ 1);
+        sendto(out.get(), datagram.data(), datagram.size(), 0, reinterpret_cast<const sockaddr*>(&at),
+               sizeof at);
+        turned = static_cast<char>(turned ^ 1);
+      }
+      std::this_thread::sleep_for(1ms);
+    }
+  }
+
+  std::atomic<std::uint64_t> sent_{0};
+  std::jthread thread_;
 };
 
 struct Event {
@@ -105,7 +143,8 @@
         draw_(scenario.seed, 5),
         nodes_(count_) {}
   ~Rig() {
-    for (Node& node : nodes_) node.process.Kill();
+    forgers_.clear();
+    for (Node& node : nodes_) Stop(node);
     relays_.Do([this] {
       beat_.reset();
       datagrams_.reset();
@@ -131,7 +170,10 @@
  private:
   struct Node {
     std::string name, folder, listen, peers;
-    NodeProcess process;
+    std::string config, control;  // Of the newest process.
+    std::unique_ptr<NodeProcess> process = std::make_unique<NodeProcess>();
+    std::vector<std::unique_ptr<NodeProcess>> predecessors;
+    int upgrades = 0;
     bool frozen = false, wanted = false;
     Millis began{0}, lived{0};
   };
@@ -157,13 +199,6 @@
       node.listen = standin::OwnAddress();
       node.peers = standin::OwnAddress();
     }
-    {
-      const std::string path = options_.folder + "/keys";
-      const int fd = open(path.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
-      if (fd < 0 || write(fd, options_.peer_key.data(), options_.peer_key.size()) < 0)
-        throw std::runtime_error(path);
-      close(fd);
-    }
     std::vector<std::string> pools;
     std::string registry;
     standins_.Do([&] {
@@ -194,20 +229,39 @@
       next_beat_ = Steady::now() + kBeat;
       beat_->After(kBeat);
     });
-    for (std::size_t i = 0; i < count_; ++i) WriteConfig(i);
+    for (std::size_t i = 0; i < count_; ++i) {
+      WriteKeys(i, {kFirstKey});
+      WriteConfig(i, connections_[3 * i + 1]->address());
+    }
+  }
+
+  void WriteKeys(std::size_t i, const std::vector<std::string>& names) {
+    std::string lines;
+    for (const std::string& name : names) {
+      const auto [at, fresh] = keys_.try_emplace(name);
+      if (fresh) at->second = options_.new_key();
+      lines += at->second;
+    }
+    const std::string path = nodes_[i].folder + "/keys";
+    const int fd = open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
+    if (fd < 0 || write(fd, lines.data(), lines.size()) < 0) throw std::runtime_error(path);
+    close(fd);
   }
 
-  void WriteConfig(std::size_t i) {
+  void WriteConfig(std::size_t i, const std::string& pool) {
     Node& node = nodes_[i];
+    const std::string start = std::to_string(node.upgrades);
+    node.config = node.folder + "/node-" + start + ".json";
+    node.control = node.folder + "/control-" + start;
     nlohmann::ordered_json config = options_.node_config(scenario_.fleet.cores, scenario_.fleet.gateways);
     config["name"] = node.name;
     config["listen"] = node.listen;
-    config["pool"] = connections_[3 * i + 1]->address();
+    config["pool"] = pool;
     config["registry"] = connections_[3 * i + 2]->address();
-    std::ofstream(node.folder + "/node.json") << config.dump(2);
+    std::ofstream(node.config) << config.dump(2);
     nlohmann::ordered_json peers = {{"listen", node.peers},
                                     {"advertise", datagrams_->address(i)},
-                                    {"keys", options_.folder + "/keys"},
+                                    {"keys", node.folder + "/keys"},
                                     {"zone", scenario_.fleet.zones[i % scenario_.fleet.zones.size()]}};
     peers["seeds"] = nlohmann::ordered_json::array();
     for (std::size_t s = 0; s < scenario_.fleet.seeds && s < count_; ++s) {
@@ -228,22 +282,70 @@
 
   void Start(std::size_t i) {
     Node& node = nodes_[i];
-    if (node.process.running()) return;
-    std::filesystem::remove(node.folder + "/control");
-    std::vector<std::string> words = {options_.program,           "serve",     "--config",
-                                      node.folder + "/node.json", "--control", node.folder + "/control"};
-    if (options_.peers) words.insert(words.end(), {"--peers", node.folder + "/peers.json"});
-    node.process.Start(words, node.folder);
+    if (node.process->running()) return;
+    std::filesystem::remove(node.control);
+    Launch(node);
     node.wanted = true;
     node.frozen = false;
     node.began = Now();
     for (Kill& kill : kills_) kill.times.open = kill.times.open && kill.node != i;
   }
 
+  void Launch(Node& node) {
+    std::vector<std::string> words = {options_.program, "serve",     "--config",
+                                      node.config,      "--control", node.control};
+    if (options_.peers) words.insert(words.end(), {"--peers", node.folder + "/peers.json"});
+    node.process->Start(words, node.folder);
+  }
+
+  void Stop(Node& node) {
+    node.process->Kill();
+    for (const auto& before : node.predecessors) before->Kill();
+  }
+
+  // A second process beside the one that serves, with a worker pool of its own; they settle the rest.
+  void Upgrade(std::size_t i) {
+    Node& node = nodes_[i];
+    if (!node.process->running() || node.frozen) return;
+    std::string pool;
+    standins_.Do([&] {
+      standin::PoolOptions options;
+      options.cores.count = scenario_.fleet.cores;
+      pools_.push_back(std::make_unique<standin::Pool>(standins_.base(), options));
+      pool = pools_.back()->address();
+    });
+    const std::size_t party = weather_.parties().Pool(i);
+    relays_.Do([&] {
+      RelayHost host{relays_.base(), &weather_, [this] { return Now(); }, [this] { return Part(); }};
+      connections_.push_back(std::make_unique<ConnectionRelay>(host, i, party, pool, counts_));
+      pool = connections_.back()->address();
+    });
+    ++node.upgrades;
+    WriteConfig(i, pool);
+    node.predecessors.push_back(std::exchange(node.process, std::make_unique<NodeProcess>()));
+    Launch(node);
+  }
+
+  void Forge(std::size_t i, double rate) {
+    std::string heard;
+    relays_.Do([&] { heard = datagrams_->last(i); });
+    if (heard.size() > 8) {
+      forgers_[i] = std::make_unique<Forger>(std::move(heard), nodes_[i].peers, rate);
+    } else {
+      Violate("no datagram came for " + nodes_[i].name + " that could be forged");
+    }
+  }
+  void EndForging(std::size_t i) {
+    if (const auto at = forgers_.find(i); at != forgers_.end()) {
+      result_.forged += at->second->sent();
+      forgers_.erase(at);
+    }
+  }
+
   void End(std::size_t i) {
     Node& node = nodes_[i];
-    if (!node.process.running()) return;
-    node.process.Kill();
+    if (!node.process->running()) return;
+    Stop(node);
     node.wanted = false;
     node.lived += Now() - node.began;
     Kill kill;
@@ -274,28 +376,16 @@
       } else if (OnLinks(fault.do_)) {
         Add(fault.at, [this, f] { relays_.Do([&] { weather_.Switch(f, true); }); });
         Add(end, [this, f] { relays_.Do([&] { weather_.Switch(f, false); }); });
-      } else if (fault.do_ == Do::kKill || fault.do_ == Do::kFreeze) {
+      } else if (fault.do_ == Do::kPace || fault.do_ == Do::kWall || fault.do_ == Do::kSlow) {
+        Say(std::string(NameOf(fault.do_)) + " is for simulated time alone, and left out here");
+      } else {
         const std::vector<bool> who = NodesOf(scenario_, fault.who);
         Millis at = fault.at;
         for (std::size_t i = 0; i < count_; ++i) {
           if (!who[i]) continue;
-          if (fault.do_ == Do::kKill) {
-            Add(at, [this, i] { End(i); });
-            if (fault.restart) Add(at + *fault.restart, [this, i] { Start(i); });
-          } else {
-            Add(at, [this, i] {
-              nodes_[i].frozen = true;
-              nodes_[i].process.Signal(SIGSTOP);
-            });
-            Add(at + (end - fault.at), [this, i] {
-              nodes_[i].process.Signal(SIGCONT);
-              nodes_[i].frozen = false;
-            });
-          }
+          PlanOne(fault, i, at, at + (end - fault.at));
           at += fault.stagger;
         }
-      } else {
-        Say(std::string(NameOf(fault.do_)) + " is for simulated time alone, and left out here");
       }
       const Millis over = fault.at + fault.lasts + fault.restart.value_or(Millis(0));
       if (over < scenario_.length) ends_.push_back(over);
@@ -306,6 +396,41 @@
                      [](const Event& a, const Event& b) { return a.at < b.at; });
   }
 
+  // A fault of one process.
+  void PlanOne(const Fault& fault, std::size_t i, Millis at, Millis end) {
+    switch (fault.do_) {
+      case Do::kKill:
+        Add(at, [this, i] { End(i); });
+        if (fault.restart) Add(at + *fault.restart, [this, i] { Start(i); });
+        break;
+      case Do::kFreeze:
+        Add(at, [this, i] { Freeze(i, true); });
+        Add(end, [this, i] { Freeze(i, false); });
+        break;
+      case Do::kUpgrade:
+        Add(at, [this, i] { Upgrade(i); });
+        break;
+      case Do::kKeys:
+        Add(at, [this, i, &fault] {
+          WriteKeys(i, fault.keys);
+          nodes_[i].process->Signal(SIGHUP);
+        });
+        break;
+      case Do::kForge:
+        Add(at, [this, i, &fault] { Forge(i, fault.rate); });
+        Add(end, [this, i] { EndForging(i); });
+        break;
+      default:
+        break;
+    }
+  }
+  void Freeze(std::size_t i, bool on) {
+    Node& node = nodes_[i];
+    node.frozen = on;
+    node.process->Signal(on ? SIGSTOP : SIGCONT);
+    for (const auto& before : node.predecessors) before->Signal(on ? SIGSTOP : SIGCONT);
+  }
+
   void StartLoad() {
     if (scenario_.load.empty() || scenario_.fleet.gateways == 0) return;
     standins_.Do([&] {
@@ -327,7 +452,7 @@
   void AwaitAll() {
     const Steady::time_point until = Steady::now() + kPatience;
     for (Node& node : nodes_) {
-      while (node.wanted && !options_.look(node.folder + "/control")) {
+      while (node.wanted && !options_.look(node.control)) {
         if (Steady::now() > until)
           throw std::runtime_error("rig: " + node.name + " does not answer; see its log");
         std::this_thread::sleep_for(10ms);
@@ -346,7 +471,11 @@
     relays_.Do([this] { late_.clear(); });
     StartLoad();
     std::size_t next_load = 1;
-    Millis next_look = options_.look_each;
+    // Looks are one after the other, and a view is as long as the fleet.
+    const double looked = static_cast<double>(count_ * count_) * 0.02;
+    const Millis each = std::max(options_.look_each, Millis(looked));
+    Millis next_look = each;
+    grain_ = each;
     while (Now() < scenario_.length) {
       if (next < events_.size() && events_[next].at <= Now()) {
         events_[next++].what();
@@ -361,7 +490,7 @@
       }
       if (next_look <= Now()) {
         Look();
-        next_look = std::max(Now(), next_look + options_.look_each);
+        next_look = std::max(Now(), next_look + each);
         continue;
       }
       Millis until = std::min(next_look, scenario_.length);
@@ -377,7 +506,11 @@
     std::size_t live = 0;
     for (std::size_t i = 0; i < count_; ++i) {
       Node& node = nodes_[i];
-      if (node.wanted && node.process.Ended()) {
+      for (const auto& before : node.predecessors) {
+        before->Gather();
+        before->Ended();
+      }
+      if (node.wanted && node.process->Ended()) {
         node.wanted = false;
         result_.crashed.push_back(node.name);
         Violate(node.name + " ended by itself");
@@ -385,7 +518,7 @@
       if (!node.wanted) continue;
       ++live;
       if (node.frozen || !options_.peers) continue;
-      views[i] = options_.look(node.folder + "/control");
+      views[i] = options_.look(node.control);
       if (views[i] && views[i]->cut_off) cut_off_.insert(node.name);
     }
     if (!options_.peers) return;
@@ -449,6 +582,7 @@
   }
 
   void Conclude() {
+    while (!forgers_.empty()) EndForging(forgers_.begin()->first);
     if (gateways_) {
       standins_.Do([&] { gateways_->Stop(); });
       const Steady::time_point until = Steady::now() + 10s;
@@ -477,14 +611,19 @@
     std::size_t live = 0;
     Millis lived{0};
     for (Node& node : nodes_) {
-      if (node.process.running()) {
+      double seconds = 0;
+      if (node.process->running()) {
         node.lived += Now() - node.began;
-        node.process.Gather();
-        rss += node.process.rss_mb();
+        node.process->Gather();
+        rss += node.process->rss_mb();
         ++live;
       }
-      cpu += node.process.cpu_seconds();
+      for (const auto& before : node.predecessors) seconds += before->cpu_seconds();
+      seconds += node.process->cpu_seconds();
+      cpu += seconds;
       lived += node.lived;
+      if (node.lived.count() > 0)
+        result_.cpu_most = std::max(result_.cpu_most, seconds * 1000 / node.lived.count());
     }
     if (lived.count() > 0) {
       result_.cpu_share = cpu * 1000 / lived.count();
@@ -496,7 +635,7 @@
     std::vector<bool> was_cut_off;
     for (const Node& node : nodes_) was_cut_off.push_back(cut_off_.contains(node.name));
     for (const std::string& wrong :
-         Judge(scenario_, {result_.bytes_a_second, result_.kills, was_cut_off}, options_.look_each)) {
+         Judge(scenario_, {result_.bytes_a_second, result_.kills, was_cut_off}, grain_)) {
       Violate(wrong);
     }
     JudgeAccount();
@@ -556,6 +695,9 @@
   std::vector<Millis> ends_;
   std::vector<Kill> kills_;
   std::set<std::string> cut_off_;
+  std::map<std::string, std::string> keys_;  // Lines, by the scenario's names.
+  std::map<std::size_t, std::unique_ptr<Forger>> forgers_;
+  Millis grain_{0};  // Between two looks.
   bool disagreed_ = false;
   RigResult result_;
 };
@@ -594,18 +736,13 @@
         {"resets", relay.resets}}},
       {"bytes_a_second", Round(bytes_a_second)},
       {"cpu_share", Round(cpu_share)},
+      {"cpu_most", Round(cpu_most)},
+      {"forged", forged},
       {"rss_mb", Round(rss_mb)},
       {"cut_off", cut_off},
       {"crashed", crashed}};
-  json["kills"] = nlohmann::ordered_json::array();
-  for (const KillTimes& kill : kills) {
-    json["kills"].push_back({{"node", kill.node},
-                             {"first_ms", Round(kill.first.count())},
-                             {"half_ms", Round(kill.half.count())},
-                             {"most_ms", Round(kill.most.count())}});
-  }
-  json["agreed_after_ms"] = nlohmann::ordered_json::array();
-  for (const Millis& after : agreed_after) json["agreed_after_ms"].push_back(Round(after.count()));
+  json["kills"] = KillsJson(kills);
+  json["agreed_after_ms"] = MillisJson(agreed_after);
   return json;
 }
 
--- a/src/lab/rig/rig.h
+++ b/src/lab/rig/rig.h
@@ -38,10 +38,10 @@
   std::function<double(int cores)> capacity;  // First tries a second.
   // Asks the control socket at this path; nothing where it does not answer.
   std::function<std::optional<NodeView>(const std::string& socket)> look;
-  std::string peer_key;  // A line of a key file.
-  std::string folder;    // Must be there and empty; logs and sockets go into it.
-  bool peers = true;     // Whether the nodes join each other.
-  Millis look_each{200};
+  std::function<std::string()> new_key;  // A line of a key file, drawn now.
+  std::string folder;                    // Must be there and empty; logs and sockets go into it.
+  bool peers = true;                     // Whether the nodes join each other.
+  Millis look_each{200};  // And so much longer that looks take no more than a part of the time.
   // Beyond these the rig was the bound, and the run says nothing.
   Millis late_most{500}, late_99{25};
   std::function<void(const std::string& line)> progress;
@@ -60,7 +60,9 @@
   std::vector<Millis> agreed_after;  // Behind the end of each fault.
   std::vector<std::string> cut_off;  // Nodes that said so.
   double bytes_a_second = 0;         // Of a node, to other nodes.
-  double cpu_share = 0;              // Of a core, mean of the nodes.
+  double cpu_share = 0;              // Of a core, mean of the nodes ...
+  double cpu_most = 0;               // ... and the busiest one.
+  std::uint64_t forged = 0;          // Datagrams.
   double rss_mb = 0;                 // Mean of the nodes at the end.
   std::vector<std::string> crashed;  // Processes that ended by themselves.
 
--- a/src/lab/scenario/judge.cpp
+++ b/src/lab/scenario/judge.cpp
@@ -1,6 +1,7 @@
 #include "lab/scenario/judge.h"
 
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 namespace hingelink::lab {
 
@@ -34,4 +35,21 @@
   return wrong;
 }
 
+nlohmann::ordered_json KillsJson(const std::vector<KillTimes>& kills) {
+  nlohmann::ordered_json json = nlohmann::ordered_json::array();
+  for (const KillTimes& kill : kills) {
+    json.push_back({{"node", kill.node},
+                    {"first_ms", std::lround(kill.first.count())},
+                    {"half_ms", std::lround(kill.half.count())},
+                    {"most_ms", std::lround(kill.most.count())}});
+  }
+  return json;
+}
+
+nlohmann::ordered_json MillisJson(const std::vector<Millis>& spans) {
+  nlohmann::ordered_json json = nlohmann::ordered_json::array();
+  for (const Millis& span : spans) json.push_back(std::lround(span.count()));
+  return json;
+}
+
 }  // namespace hingelink::lab
--- a/src/lab/scenario/judge.h
+++ b/src/lab/scenario/judge.h
@@ -3,6 +3,7 @@
 #define HINGELINK_LAB_SCENARIO_JUDGE_H_
 
 #include <cstddef>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,10 @@
   void Learn(std::size_t known, std::size_t live, Millis after);
 };
 
+// As results have them.
+nlohmann::ordered_json KillsJson(const std::vector<KillTimes>& kills);
+nlohmann::ordered_json MillisJson(const std::vector<Millis>& spans);
+
 // What a run came to, by node where there is a list.
 struct Course {
   double bytes_a_second = 0;  // Of a node.
--- a/src/lab/scenario/scenario.cpp
+++ b/src/lab/scenario/scenario.cpp
@@ -16,8 +16,9 @@
 
 using Json = nlohmann::ordered_json;
 
-constexpr const char* kDoNames[] = {"cut",   "delay", "loss",   "duplicate", "reorder", "throttle", "reset",
-                                    "stall", "kill",  "freeze", "pace",      "wall",    "slow"};
+constexpr const char* kDoNames[] = {"cut",   "delay", "loss", "duplicate", "reorder", "throttle",
+                                    "reset", "stall", "kill", "freeze",    "pace",    "wall",
+                                    "slow",  "forge", "keys", "upgrade"};
 constexpr const char* kCheckNames[] = {"views-agree", "nobody-gone", "none-dropped",     "gone-known",
                                        "back",        "bytes",       "false-suspicions", "cut-off-said",
                                        "served",      "whole"};
@@ -77,6 +78,9 @@
       bad(at + "/share", "wanted from 0 to 1: the share of the datagrams");
     }
     if (fault.do_ == Do::kThrottle && fault.bytes <= 0) bad(at + "/bytes", "missing; wanted bytes a second");
+    if (fault.do_ == Do::kForge && fault.rate <= 0) bad(at + "/rate", "missing; wanted datagrams a second");
+    if (fault.do_ == Do::kKeys && fault.keys.empty())
+      bad(at + "/keys", "missing; wanted one name of a key, or two: the first signs, both are believed");
   }
   for (std::size_t i = 0; i < scenario.assertions.size(); ++i) {
     const Assertion& assertion = scenario.assertions[i];
@@ -181,15 +185,18 @@
   return in;
 }
 
-Scenario ParseScenario(const std::string& text, const std::string& file) {
-  Json json;
+Json ParseLines(const std::string& text, const std::string& file) {
   try {
-    json = Json::parse(text, nullptr, true, true);
+    return Json::parse(text, nullptr, true, true);
   } catch (const Json::parse_error& fault) {
     const std::size_t byte = std::min(fault.byte, text.size());
     const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(byte), '\n');
     throw ScenarioError({file + " line " + std::to_string(line) + ": no JSON (" + fault.what() + ")"});
   }
+}
+
+Scenario ParseScenario(const std::string& text, const std::string& file) {
+  const Json json = ParseLines(text, file);
   static const schema::Schema form(schema::ScenarioSchema());
   std::vector<std::string> faults;
   for (const schema::Fault& fault : form.Check(nlohmann::json::parse(json.dump()))) {
@@ -227,6 +234,8 @@
     fault.jitter_ms = one.value("jitter_ms", 0.0);
     fault.share = one.value("share", fault.do_ == Do::kPace ? 1.0 : 0.0);
     fault.bytes = one.value("bytes", 0.0);
+    fault.rate = one.value("rate", 0.0);
+    fault.keys = one.value("keys", fault.keys);
     if (one.contains("restart_ms")) fault.restart = Millis(one["restart_ms"].get<double>());
     fault.disk_lost = one.value("disk", std::string("lost")) == "lost";
     fault.stagger = Millis(one.value("stagger_ms", 0.0));
@@ -285,6 +294,8 @@
     if (fault.jitter_ms != 0) one["jitter_ms"] = fault.jitter_ms;
     if (fault.share != 0) one["share"] = fault.share;
     if (fault.bytes != 0) one["bytes"] = fault.bytes;
+    if (fault.rate != 0) one["rate"] = fault.rate;
+    if (!fault.keys.empty()) one["keys"] = fault.keys;
     if (fault.restart) one["restart_ms"] = fault.restart->count();
     if (!OnLinks(fault.do_)) one["disk"] = fault.disk_lost ? "lost" : "kept";
     if (fault.stagger.count() > 0) one["stagger_ms"] = fault.stagger.count();
@@ -380,6 +391,16 @@
     }
     scenario.faults.push_back(std::move(fault));
   }
+  // From a draw of its own: seeds that were told of before there were upgrades mean the same schedules still.
+  pcg64 later(seed, 79);
+  if (later() % 3 == 0) {
+    Fault upgrade;
+    upgrade.do_ = Do::kUpgrade;
+    upgrade.at = kQuietStart + Millis(room * static_cast<double>(later() >> 11) * 0x1.0p-53);
+    upgrade.who = ParseWho(later() % 2 == 0 ? "share:0.2" : "share:1");
+    upgrade.stagger = Millis(static_cast<double>(later() % 300));
+    scenario.faults.push_back(std::move(upgrade));
+  }
   Assertion agree;
   agree.what = Check::kAgree;
   agree.within = Millis(12'000);
--- a/src/lab/scenario/scenario.h
+++ b/src/lab/scenario/scenario.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -49,23 +50,29 @@
   kPace,       // Its steady clock runs `share` times as fast. Simulated time only.
   kWall,       // Its wall clock is `ms` ahead at its starts. Simulated time only.
   kSlow,       // Each of its answers takes `ms` longer. Simulated time only.
+  kForge,      // `rate` forged datagrams a second at each: real ones with a bit turned. Real processes only.
+  kKeys,       // They are told these `keys`, by name: the first signs, each is believed. Once.
+  kUpgrade,    // A successor of the same name and addresses takes over. Once.
 };
 const char* NameOf(Do what);
 
 struct Fault {
   Millis at{0};
-  Millis lasts{0};  // 0: to the end; of no meaning for kKill and kReset.
+  Millis lasts{0};  // 0: to the end; of no meaning for what is done once.
   Do do_ = Do::kCut;
   Who who;           // A process fault's target, a link fault's one end.
   Who to;            // A link fault's other end.
   bool both = true;  // Both directions of the link.
-  double ms = 0, jitter_ms = 0, share = 0, bytes = 0;
+  double ms = 0, jitter_ms = 0, share = 0, bytes = 0, rate = 0;
+  std::vector<std::string> keys;
   std::optional<Millis> restart;
   bool disk_lost = true;
   // Between the targets of a process fault: rolling kills, and frozen one after the other.
   Millis stagger{0};
 };
 bool OnLinks(Do what);
+// The key that all begin with.
+inline constexpr const char* kFirstKey = "first";
 
 struct LoadStep {
   Millis at{0};
@@ -119,6 +126,8 @@
   Millis LastFault() const;
 };
 
+// JSON with comments. Throws ScenarioError that names file and line.
+nlohmann::ordered_json ParseLines(const std::string& text, const std::string& file);
 // Throws ScenarioError. `file` names it in the faults.
 Scenario ParseScenario(const std::string& text, const std::string& file);
 Scenario ReadScenario(const std::string& path);
--- a/src/lab/sim/network.cpp
+++ b/src/lab/sim/network.cpp
@@ -1,8 +1,10 @@
 #include "lab/sim/network.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
+#include <nlohmann/json.hpp>
 #include <tuple>
 #include <utility>
 
@@ -22,6 +24,8 @@
 
 // A UDP/IPv4 header, and what the link puts before a message (src/net/peers.h).
 constexpr std::size_t kHeaderBytes = 28 + 48;
+// What counts against the bytes a second.
+constexpr std::size_t kLinkBytes = 36;
 // What a frozen process's socket keeps for it.
 constexpr std::size_t kInbox = 400;
 constexpr Millis kLookEach{50};
@@ -46,12 +50,20 @@
         draw_(scenario.seed, 1),
         nodes_(scenario.fleet.nodes),
         weather_(scenario) {
+    result_.scenario = scenario_.name;
+    result_.seed = scenario_.seed;
     result_.was_cut_off.assign(nodes_.size(), false);
     if (nodes_.size() <= kMostAudited) told_.resize(nodes_.size() * nodes_.size());
     for (const Fault& fault : scenario_.faults) {
       Active active;
       active.fault = &fault;
       active.from = NodesOf(scenario_, fault.who, &fault.to);
+      for (std::size_t k = 0; k < active.keys.size() && !fault.keys.empty(); ++k) {
+        const std::string& name = fault.keys[std::min(k, fault.keys.size() - 1)];
+        const auto at = std::find(key_names_.begin(), key_names_.end(), name);
+        active.keys[k] = static_cast<std::uint8_t>(at - key_names_.begin());
+        if (at == key_names_.end()) key_names_.push_back(name);
+      }
       faults_.push_back(std::move(active));
     }
   }
@@ -71,7 +83,7 @@
   }
 
  private:
-  enum class What { kStart, kTick, kArrive, kBegin, kEnd, kKill, kFreeze, kThaw, kLook };
+  enum class What { kStart, kTick, kArrive, kBegin, kEnd, kKill, kFreeze, kThaw, kKeys, kUpgrade, kLook };
   struct Event {
     Millis at{0};
     std::uint64_t number = 0;
@@ -79,6 +91,7 @@
     std::size_t node = 0;    // Or the fault.
     std::uint64_t mark = 0;  // Of a tick or an arrival: the life of the node that it is for.
     std::size_t from = 0;
+    std::uint8_t key = 0;
     std::shared_ptr<const PeerMessage> message{};
     bool operator<(const Event& other) const {
       return std::tie(other.at, other.number) < std::tie(at, number);
@@ -97,12 +110,17 @@
     FleetTime clock{0};  // ... and the node's clock then.
     double wall_ms = 0, slow_ms = 0;
     std::uint64_t bytes = 0;
+    double may_send = 0;  // Bytes, at `sent_at`.
+    Millis sent_at{0};
+    std::array<std::uint8_t, 2>
+        keys{};  // Those it believes, the first signs; both are the same where it has one.
     Millis lived{0};
     Version newest;  // That it ever told of itself, in any life.
   };
   struct Active {
     const Fault* fault = nullptr;
-    std::vector<bool> from;  // Its processes.
+    std::vector<bool> from;              // Its processes.
+    std::array<std::uint8_t, 2> keys{};  // That they are told.
   };
   struct Kill {
     std::size_t node = 0;
@@ -137,11 +155,16 @@
     for (std::size_t f = 0; f < faults_.size(); ++f) {
       const Fault& fault = *faults_[f].fault;
       const Millis end = fault.lasts.count() > 0 ? fault.at + fault.lasts : scenario_.length;
-      if (fault.do_ == Do::kKill || fault.do_ == Do::kFreeze) {
+      if (fault.do_ == Do::kKill || fault.do_ == Do::kFreeze || fault.do_ == Do::kKeys ||
+          fault.do_ == Do::kUpgrade) {
+        const What what = fault.do_ == Do::kKill     ? What::kKill
+                          : fault.do_ == Do::kFreeze ? What::kFreeze
+                          : fault.do_ == Do::kKeys   ? What::kKeys
+                                                     : What::kUpgrade;
         Millis at = fault.at;
         for (std::size_t i = 0; i < count; ++i) {
           if (!faults_[f].from[i]) continue;
-          Push({.at = at, .what = fault.do_ == Do::kKill ? What::kKill : What::kFreeze, .node = i});
+          Push({.at = at, .what = what, .node = i, .from = f});
           if (fault.do_ == Do::kKill && fault.restart) {
             Push({.at = at + *fault.restart, .what = What::kStart, .node = i});
           } else if (fault.do_ == Do::kFreeze) {
@@ -180,6 +203,10 @@
         Node& node = nodes_[event.node];
         // Its address is the same in each life: what is late reaches the next one.
         if (!node.membership) break;
+        if (event.key != node.keys[0] && event.key != node.keys[1]) {
+          ++result_.wrong_key;
+          break;
+        }
         if (node.frozen) {
           if (node.inbox.size() < kInbox) node.inbox.emplace_back(event.from, event.message);
           break;
@@ -208,6 +235,18 @@
         Tick(event.node);
         break;
       }
+      case What::kKeys:
+        nodes_[event.node].keys = faults_[event.from].keys;
+        break;
+      case What::kUpgrade: {
+        // The successor has the address at once, and the one before says nothing more.
+        Node& node = nodes_[event.node];
+        if (!node.membership || node.frozen) break;
+        Gather(node);
+        node.membership.reset();
+        Start(event.node);
+        break;
+      }
       case What::kLook:
         Look();
         break;
@@ -224,6 +263,8 @@
     node.clock_at = now_;
     node.clock = FleetTime(0);
     node.began = now_;
+    node.may_send = options_.bytes_per_second;
+    node.sent_at = now_;
     MemberRecord self;
     self.name = NameOfNode(i);
     self.address = AddressOf(i);
@@ -387,6 +428,16 @@
     result_.most_message = std::max(result_.most_message, bytes);
     if (bytes > options_.membership.most_bytes)
       Violate(NameOfNode(from) + " sends " + std::to_string(bytes) + " bytes");
+    Node& sender = nodes_[from];
+    sender.may_send =
+        std::min(sender.may_send + (now_ - sender.sent_at).count() / 1000 * options_.bytes_per_second,
+                 2 * options_.bytes_per_second);
+    sender.sent_at = now_;
+    if (sender.may_send < static_cast<double>(bytes + kLinkBytes)) {
+      ++result_.unsent;
+      return;
+    }
+    sender.may_send -= static_cast<double>(bytes + kLinkBytes);
     Audit(from, send.message);
     ++result_.messages;
     result_.bytes += bytes + kHeaderBytes;
@@ -405,12 +456,19 @@
       return;
     }
     const auto message = std::make_shared<const PeerMessage>(std::move(send.message));
-    Push({.at = now_ + delay, .what = What::kArrive, .node = to, .from = from, .message = message});
+    const std::uint8_t key = sender.keys[0];
+    Push({.at = now_ + delay,
+          .what = What::kArrive,
+          .node = to,
+          .from = from,
+          .key = key,
+          .message = message});
     if (twice) {
       Push({.at = now_ + delay * (1 + 3 * Part()),
             .what = What::kArrive,
             .node = to,
             .from = from,
+            .key = key,
             .message = message});
     }
   }
@@ -520,6 +578,7 @@
   std::uint64_t last_event_ = 0;
   std::vector<Node> nodes_;
   std::vector<Active> faults_;
+  std::vector<std::string> key_names_ = {kFirstKey};
   Weather weather_;
   std::vector<Kill> kills_;
   std::vector<Told> told_;
@@ -530,6 +589,30 @@
 
 }  // namespace
 
+nlohmann::ordered_json SimResult::Json() const {
+  nlohmann::ordered_json json = {{"scenario", scenario},
+                                 {"seed", seed},
+                                 {"broken", broken},
+                                 {"messages", messages},
+                                 {"bytes_a_second", std::lround(bytes_a_second)},
+                                 {"most_bytes_a_second", std::lround(most_bytes_a_second)},
+                                 {"unsent", unsent},
+                                 {"wrong_key", wrong_key},
+                                 {"most_message", most_message},
+                                 {"most_queued", most_queued},
+                                 {"suspicions", suspicions},
+                                 {"withdrawn", withdrawn},
+                                 {"gone", gone},
+                                 {"false_gone", false_gone},
+                                 {"digest", digest}};
+  json["violations"] = nlohmann::ordered_json::array();
+  for (const Violation& v : violations)
+    json["violations"].push_back({{"at_ms", v.at.count()}, {"what", v.what}});
+  json["kills"] = KillsJson(kills);
+  json["agreed_after_ms"] = MillisJson(agreed_after);
+  return json;
+}
+
 SimResult Simulate(const Scenario& scenario, const SimOptions& options) {
   return Network(scenario, options).Run();
 }
--- a/src/lab/sim/network.h
+++ b/src/lab/sim/network.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <pcg_random.hpp>
 #include <queue>
@@ -24,9 +25,13 @@
 };
 
 struct SimResult {
+  std::string scenario;
+  std::uint64_t seed = 0;
   std::vector<Violation> violations;  // At most 20; `broken` counts all.
   std::size_t broken = 0;
   std::uint64_t messages = 0, bytes = 0, lost = 0;
+  std::uint64_t unsent = 0;     // Over the link's bytes a second.
+  std::uint64_t wrong_key = 0;  // Came under a key that was not believed.
   std::uint64_t suspicions = 0, false_suspicions = 0, withdrawn = 0, gone = 0, false_gone = 0;
   double bytes_a_second = 0;       // A node's, mean.
   double most_bytes_a_second = 0;  // The busiest node's, mean of its life.
@@ -36,10 +41,13 @@
   std::vector<bool> was_cut_off;     // By node.
   std::uint64_t digest = 0;          // Of all that happened: equal for equal seeds.
   std::uint64_t events = 0;
+
+  nlohmann::ordered_json Json() const;
 };
 
 struct SimOptions {
   decide::MembershipOptions membership;
+  double bytes_per_second = 64'000;  // Of each node's link (net/peers.h); two seconds of it may be saved up.
   // Given each message before it is sent, to plant a mistake in it.
   std::function<void(std::size_t node, decide::PeerMessage&)> tamper;
   // Told of each word that a node would log.
--- a/src/schema/schema.h
+++ b/src/schema/schema.h
@@ -40,6 +40,7 @@
 std::string_view ApplianceSchema();
 std::string_view PeersSchema();
 std::string_view ScenarioSchema();
+std::string_view SeriesSchema();
 
 }  // namespace hingelink::schema
 
--- a/tests/console/view_test.cpp
+++ b/tests/console/view_test.cpp
@@ -194,4 +194,40 @@
   EXPECT_EQ(shown->style, Style::kBad);
 }
 
+TEST(ConsolePage, ShowsTheMembersThatNeedALookFirst) {
+  Model model;
+  json snapshot = Snapshot(1, {{1, 1, 1, 1, 1}});
+  snapshot["fleet"] = {{"alive", 40}, {"suspect", 1}, {"gone", 1}, {"cut_off", true}, {"linked", true}};
+  json members = {{"members", json::array()}};
+  for (int i = 0; i < 40; ++i) {
+    members["members"].push_back({{"name", "n" + std::to_string(100 + i)},
+                                  {"address", "127.0.0.1:7946"},
+                                  {"state", i == 37   ? "suspect"
+                                            : i == 38 ? "gone"
+                                                      : "alive"},
+                                  {"phase", "serving"},
+                                  {"zone", i == 36 ? "\x1b[2J" : "a"},
+                                  {"held", i == 39},
+                                  {"heard_ms", i == 39 ? 61'000 : 300}});
+  }
+  model.Take(snapshot, 0);
+  model.TakeMembers(members);
+  Stand stand;
+  stand.members = true;
+  std::vector<std::string> shown;
+  std::string all;
+  for (const Line& line : Compose(model.Show(0), stand, 80, 24)) {
+    all += line.text + '\n';
+    if (line.text.starts_with(" n1")) shown.push_back(line.text);
+    EXPECT_EQ(Cells(line.text), 80u);
+    EXPECT_EQ(line.text.find('\x1b'), std::string::npos);
+  }
+  ASSERT_GT(shown.size(), 5u) << all;
+  EXPECT_NE(shown[0].find("n139            HELD     1:01"), std::string::npos) << all;
+  EXPECT_NE(shown[1].find("n137            suspect  300 ms"), std::string::npos) << all;
+  EXPECT_NE(shown[2].find("n138            gone"), std::string::npos) << all;
+  EXPECT_NE(all.find("more; hingelink fleet members has all"), std::string::npos) << all;
+  EXPECT_EQ(all.find("class "), std::string::npos);
+}
+
 }  // namespace
--- a/tests/lab/rig_test.cpp
+++ b/tests/lab/rig_test.cpp
@@ -105,6 +105,88 @@
   EXPECT_EQ(Lines(result.violations), "");
 }
 
+TEST(Rig, AFifthThatIsSilentIsDroppedAndBack) {
+  Scenario scenario = LoadedFleetOf(10, 15);
+  scenario.faults = {FaultOf(1'500, Do::kCut, "nodes:8-9", "rest", 6'000)};
+  // Behind one second of bad luck more than a suspicion's shortest time, so that some are dropped.
+  scenario.assertions = {Must(Check::kNobodyGone, 0, "nodes:0-7"), Must(Check::kAgree, 5'000),
+                         Must(Check::kWhole)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_GT(result.relay.lost, 20u);
+}
+
+TEST(Rig, ThreePartsHoldTheirViewsAndMeetAgain) {
+  Scenario scenario = LoadedFleetOf(9, 15);
+  scenario.faults = {FaultOf(1'500, Do::kCut, "zone:a", "rest", 7'000),
+                     FaultOf(1'500, Do::kCut, "zone:b", "rest", 7'000)};
+  scenario.assertions = {Must(Check::kNoneDropped), Must(Check::kCutOffSaid, 0, "nodes"),
+                         Must(Check::kAgree, 5'000), Must(Check::kWhole)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+}
+
+TEST(Rig, SixInTenAreReplacedWithinSevenSeconds) {
+  Scenario scenario = LoadedFleetOf(10, 14);
+  scenario.faults = {FaultOf(1'500, Do::kKill, "nodes:4-9")};
+  scenario.faults[0].stagger = Millis(1'200);
+  scenario.faults[0].restart = Millis(300);
+  scenario.assertions = {Must(Check::kNobodyGone), Must(Check::kAgree, 5'000)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_EQ(result.kills.size(), 6u);
+  EXPECT_EQ(result.account.wrong + result.account.twice, 0u);
+}
+
+TEST(Rig, TwoRestartsWithinAProbeLeaveTheNewestLife) {
+  Scenario scenario = LoadedFleetOf(6, 9);
+  scenario.faults = {FaultOf(1'500, Do::kKill, "node:2"), FaultOf(1'800, Do::kKill, "node:2")};
+  scenario.faults[0].restart = Millis(100);
+  scenario.faults[1].restart = Millis(20);
+  scenario.assertions = {Must(Check::kNobodyGone), Must(Check::kAgree, 4'000)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_EQ(result.kills.size(), 2u);
+}
+
+TEST(Rig, AKeyIsReplacedInServiceAndOneThatWasForgottenIsHeardNoMore) {
+  Scenario scenario = LoadedFleetOf(5, 19);
+  const auto keys = [](double at, const char* who, std::vector<std::string> names) {
+    Fault fault = FaultOf(at, Do::kKeys, who);
+    fault.keys = std::move(names);
+    return fault;
+  };
+  // All but the last go over in three steps; the last keeps the retired key until it is told.
+  scenario.faults = {keys(1'000, "nodes:0-3", {"first", "second"}),
+                     keys(2'000, "nodes:0-3", {"second", "first"}), keys(3'000, "nodes:0-3", {"second"}),
+                     keys(13'000, "node:4", {"second"})};
+  scenario.assertions = {Must(Check::kNobodyGone, 0, "nodes:0-3"), Must(Check::kCutOffSaid, 0, "node:4"),
+                         Must(Check::kAgree, 5'000), Must(Check::kWhole)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+}
+
+TEST(Rig, ASuccessorTakesTheAddressOverUnderLoad) {
+  Scenario scenario = LoadedFleetOf(5, 12);
+  scenario.faults = {FaultOf(1'500, Do::kUpgrade, "nodes")};
+  scenario.faults[0].stagger = Millis(900);
+  scenario.assertions = {Must(Check::kNobodyGone), Must(Check::kAgree, 5'000), Must(Check::kWhole)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_GT(result.account.good, 100u);
+  EXPECT_EQ(result.account.lost + result.account.unanswered, 0u);
+}
+
+TEST(Rig, AFloodOfForgedDatagramsDropsNobodyAndAddsNobody) {
+  Scenario scenario = LoadedFleetOf(3, 9);
+  scenario.faults = {FaultOf(1'500, Do::kForge, "node:0", "all", 6'000)};
+  scenario.faults[0].rate = 20'000;
+  scenario.assertions = {Must(Check::kNobodyGone), Must(Check::kAgree, 1'000), Must(Check::kWhole)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_GT(result.forged, 20'000u);
+}
+
 // The rig itself: what does not hold is told, and what the relays do to connections is seen by the stand-ins.
 TEST(Rig, WhatDoesNotHoldIsTold) {
   Scenario scenario = LoadedFleetOf(4, 9);
--- a/tests/lab/scenario_test.cpp
+++ b/tests/lab/scenario_test.cpp
@@ -48,6 +48,11 @@
   EXPECT_NE(
       Fault(With(R"(,"faults":[{"at_ms":1,"do":"throttle","who":"all"}])")).find("wanted bytes a second"),
       std::string::npos);
+  EXPECT_NE(
+      Fault(With(R"(,"faults":[{"at_ms":1,"do":"forge","who":"all"}])")).find("wanted datagrams a second"),
+      std::string::npos);
+  EXPECT_NE(Fault(With(R"(,"faults":[{"at_ms":1,"do":"keys","who":"all"}])")).find("the first signs"),
+            std::string::npos);
   EXPECT_NE(Fault(With(R"(,"assert":[{"what":"cut-off-said"}])")).find("wants a \"who\""), std::string::npos);
   EXPECT_THROW(ReadScenario("/nowhere.json"), ScenarioError);
 }
--- a/tests/lab/sim_test.cpp
+++ b/tests/lab/sim_test.cpp
@@ -62,6 +62,45 @@
   return name;
 });
 
+// Who signs with a key that nobody believes any more is not heard, and is back with the right one.
+TEST(Simulated, ARetiredKeyEntersNowhere) {
+  Scenario scenario = FleetOf(8, 30);
+  Fault keys;
+  keys.at = Millis(5'000);
+  keys.do_ = Do::kKeys;
+  keys.who = ParseWho("nodes:0-6");
+  keys.keys = {"second"};
+  scenario.faults = {keys};
+  SimOptions options;
+  std::size_t joined = 0, gone = 0;
+  options.words = [&](Millis at, std::size_t node, const decide::FleetWord& word) {
+    if (at < Millis(6'000) || node == 7 || word.name != "n7") return;
+    if (word.code == "member-gone") ++gone;
+    if (word.code == "member-joined" || word.code == "member-returned") ++joined;
+  };
+  const SimResult result = Simulate(scenario, options);
+  EXPECT_EQ(gone, 7u);
+  EXPECT_EQ(joined, 0u);
+  EXPECT_GT(result.wrong_key, 50u);
+}
+
+// The start of hundreds falls on all of them, not on the seeds, and is over soon under the link's own bound.
+TEST(Simulated, AStartOfHundredsIsSpread) {
+  Scenario scenario = FleetOf(250, 5);
+  scenario.fleet.seeds = 4;
+  Assertion agree;
+  agree.within = Millis(4'500);
+  scenario.assertions = {agree};
+  const SimResult result = Simulate(scenario);
+  EXPECT_EQ(result.broken, 0u);
+  EXPECT_LT(result.bytes_a_second, 45'000);
+  EXPECT_EQ(result.suspicions, 0u);
+  // Where all compare with the seeds, these have no bytes left for their answers to probes.
+  SimOptions seeds_alone;
+  seeds_alone.membership.young = decide::FleetTime(0);
+  EXPECT_GT(Simulate(scenario, seeds_alone).suspicions, 50u);
+}
+
 // The auditor reads what nodes tell, and finds what is planted there.
 TEST(Simulated, TheAuditorFindsPlantedMistakes) {
   Scenario scenario = FleetOf(8, 25);
