--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -20,6 +20,7 @@
 void AddBackground(CLI::App& app, int& status);
 void AddFleet(CLI::App& app, int& status);
 void AddLab(CLI::App& app, int& status);
+void AddLabCrowd(CLI::App& lab, int& status);
 void AddLabSeries(CLI::App& lab, int& status);
 void AddCompletion(CLI::App& app);
 
--- a/src/cli/control_of_node.cpp
+++ b/src/cli/control_of_node.cpp
@@ -16,7 +16,7 @@
 class Control : public ControlOfNode {
  public:
   Control(node::Node& node, const std::string& path, std::uint64_t generation, const StateOfNode* state,
-          const FleetOfNode* fleet)
+          const FleetOfNode* fleet, const ServicesOfNode* services)
       : server_(node.base(), {.path = path},
                 [&node, generation, fleet] {
                   Json json = control::SnapshotJson(node.See(), {HINGELINK_VERSION, getpid(), generation});
@@ -59,12 +59,20 @@
                     return Json{{"jobs", state == nullptr ? Json::array() : Json::parse(state->Jobs())}};
                   }},
                  {"members",
-                  [fleet](const nlohmann::json&) {
+                  [fleet](const nlohmann::json& args) {
                     if (fleet == nullptr)
                       throw control::Fault("no-fleet",
                                            "this node was started without peers; name them in the "
                                            "appliance's file, or with serve --peers");
-                    return Json::parse(fleet->Members());
+                    return Json::parse(fleet->Members(args.value("brief", false)));
+                  }},
+                 {"spread",
+                  [services](const nlohmann::json&) {
+                    if (services == nullptr)
+                      throw control::Fault("no-services",
+                                           "this node has one worker pool of its own; name services in the "
+                                           "appliance's file, or with serve --services");
+                    return Json::parse(services->Spread());
                   }},
                  {"version", [](const nlohmann::json&) {
                     return Json{{"version", HINGELINK_VERSION}, {"control", control::kVersion}};
@@ -107,8 +115,18 @@
   MembersOfFleet(node::Node& node, const std::string& path)
       : fleet_(node, [path] { return fleet::ReadFleetConfig(path); }) {}
   void Finish() override { fleet_.Finish(); }
-  std::string Members() const override {
+  std::string Members(bool brief) const override {
     const fleet::Fleet::Seen seen = fleet_.Look();
+    if (brief) {
+      Json json = {{"self", {{"life", seen.self.version.life}}}, {"cut_off", seen.cut_off}};
+      Json& members = json["members"] = Json::array();
+      for (const auto& other : seen.others) {
+        members.push_back({{"name", log::Printable(other.record.name)},
+                           {"life", other.record.version.life},
+                           {"state", decide::BeliefName(other.record.belief)}});
+      }
+      return json.dump();
+    }
     Json json = {{"self", RecordJson(seen.self)},
                  {"linked", seen.linked},
                  {"cut_off", seen.cut_off},
@@ -146,6 +164,17 @@
         .dump();
   }
 
+  std::vector<std::pair<std::string, std::string>> Here() const override {
+    const fleet::Fleet::Seen seen = fleet_.Look();
+    std::vector<std::pair<std::string, std::string>> here = {{seen.self.name, seen.self.zone}};
+    for (const auto& other : seen.others) {
+      // Suspects may be back any moment: what moves for them moves twice.
+      if (other.record.belief != decide::Belief::kGone && other.record.phase != decide::MemberPhase::kLeft)
+        here.emplace_back(other.record.name, other.record.zone);
+    }
+    return here;
+  }
+
  private:
   static Json RecordJson(const decide::MemberRecord& record) {
     const in_addr ip{htonl(record.address.ip)};
@@ -168,8 +197,8 @@
 
 std::unique_ptr<ControlOfNode> MakeControl(node::Node& node, const std::string& path,
                                            std::uint64_t generation, const StateOfNode* state,
-                                           const FleetOfNode* fleet) {
-  return std::make_unique<Control>(node, path, generation, state, fleet);
+                                           const FleetOfNode* fleet, const ServicesOfNode* services) {
+  return std::make_unique<Control>(node, path, generation, state, fleet, services);
 }
 
 std::unique_ptr<FleetOfNode> JoinFleet(node::Node& node, const std::string& path) {
--- a/src/cli/control_of_node.h
+++ b/src/cli/control_of_node.h
@@ -5,7 +5,10 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "node/joined.h"
 #include "node/node.h"
 
 namespace hingelink::cli {
@@ -34,9 +37,26 @@
   // Behind the node's Run(): the others are told.
   virtual void Finish() = 0;
   // For `hingelink fleet members`, and in short for the console, as JSON.
-  virtual std::string Members() const = 0;
+  // `brief`: names, lives and states alone, for who asks hundreds of nodes.
+  virtual std::string Members(bool brief) const = 0;
   virtual std::string Short() const = 0;
+  // Names and zones of those that are here, this node among them.
+  virtual std::vector<std::pair<std::string, std::string>> Here() const = 0;
 };
+// The services below that this node shares with others; nothing in a build without HINGELINK_TOOLS.
+class ServicesOfNode {
+ public:
+  virtual ~ServicesOfNode() = default;
+  // For the node that is made with it, which this must outlive.
+  virtual node::Node::PoolMaker Maker() = 0;
+  // What keeps it told of the other nodes and of a changed file, as long as it lives.
+  virtual std::unique_ptr<node::Joined> Join(node::Node& node, const FleetOfNode* fleet) = 0;
+  // For `hingelink fleet spread`, as JSON.
+  virtual std::string Spread() const = 0;
+};
+// `path`: a file by deploy/schema/services.json. Throws where it is wrong, or the build has no such part.
+std::unique_ptr<ServicesOfNode> ReadServices(const std::string& path);
+
 // `path`: a file by deploy/schema/peers.json. Throws where it is wrong, or the build has no such part.
 std::unique_ptr<FleetOfNode> JoinFleet(node::Node& node, const std::string& path);
 
@@ -46,7 +66,8 @@
 // Throws where it cannot listen, or where the build has no control socket.
 std::unique_ptr<ControlOfNode> MakeControl(node::Node& node, const std::string& path,
                                            std::uint64_t generation, const StateOfNode* state = nullptr,
-                                           const FleetOfNode* fleet = nullptr);
+                                           const FleetOfNode* fleet = nullptr,
+                                           const ServicesOfNode* services = nullptr);
 
 }  // namespace hingelink::cli
 
--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -164,6 +164,7 @@
   replay->add_flag("--shrink", options->shrink, "Take away what it fails without");
   replay->add_option("--out", options->out, "Write the schedule to this file");
   AddLabSeries(*lab, status);
+  AddLabCrowd(*lab, status);
   for (CLI::App* one : {hunt, replay}) {
     one->add_option("--nodes", options->nodes, "Of the fleet")->capture_default_str();
     one->add_option("--seconds", options->seconds, "Of a run")->capture_default_str();
--- a/src/cli/lab_rig.cpp
+++ b/src/cli/lab_rig.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/sample_config.h"
 #include "control/client.h"
+#include "decide/subset.h"
 #include "net/peers.h"
 
 namespace hingelink::cli {
@@ -11,6 +12,17 @@
   rig.program = program;
   rig.folder = folder;
   rig.new_key = net::NewPeerKey;
+  rig.services_of = [](const lab::Scenario& scenario, std::size_t size) {
+    const lab::Fleet& fleet = scenario.fleet;
+    std::vector<decide::SubsetNode> nodes;
+    std::vector<decide::SubsetService> services;
+    for (std::size_t i = 0; i < fleet.nodes; ++i)
+      nodes.push_back({"n" + std::to_string(i), fleet.zones[i % fleet.zones.size()]});
+    for (std::size_t s = 0; s < fleet.services; ++s)
+      services.push_back(
+          {"s" + std::to_string(s), fleet.zones[s % fleet.zones.size()], static_cast<double>(fleet.cores)});
+    return decide::Subsets(nodes, services, size);
+  };
   rig.classes = SampleLoad();
   rig.capacity = SampleCapacity;
   rig.node_config = [](int cores, std::size_t gateways) {
@@ -22,7 +34,7 @@
   rig.look = [](const std::string& socket) -> std::optional<lab::NodeView> {
     try {
       const nlohmann::json seen =
-          control::Client(socket).Call("members", nlohmann::json::object(), std::chrono::seconds(2));
+          control::Client(socket).Call("members", {{"brief", true}}, std::chrono::seconds(2));
       lab::NodeView view;
       view.life = seen.at("self").at("life");
       view.cut_off = seen.at("cut_off");
@@ -30,8 +42,10 @@
         view.others[m.at("name")] = {m.at("life"), m.at("state") == "gone", m.at("state") == "suspect"};
       }
       return view;
-    } catch (const control::Fault&) {
-      // It answers, and was started without peers.
+    } catch (const control::Fault& fault) {
+      // It answers, and was started without peers. Guards against a question that is refused for its form, as
+      // a fleet in which nobody is ever gone.
+      if (fault.code() != "no-fleet") throw;
       return lab::NodeView{};
     } catch (const std::exception&) {
       return std::nullopt;
--- a/src/cli/no_control.cpp
+++ b/src/cli/no_control.cpp
@@ -7,10 +7,14 @@
 namespace hingelink::cli {
 
 std::unique_ptr<ControlOfNode> MakeControl(node::Node&, const std::string&, std::uint64_t, const StateOfNode*,
-                                           const FleetOfNode*) {
+                                           const FleetOfNode*, const ServicesOfNode*) {
   throw std::runtime_error("--control: this program was built without HINGELINK_TOOLS");
 }
 
+std::unique_ptr<ServicesOfNode> ReadServices(const std::string&) {
+  throw std::runtime_error("--services: this program was built without HINGELINK_TOOLS");
+}
+
 std::unique_ptr<StateOfNode> KeepState(node::Node&, const std::string&) {
   throw std::runtime_error("--learned: this program was built without HINGELINK_TOOLS");
 }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -20,6 +20,7 @@
   std::string control;
   std::string learned;
   std::string peers;
+  std::string services;
   std::uint64_t generation = 0;
   std::size_t threads = 1;
   bool pin = false;
@@ -52,8 +53,11 @@
     return fresh;
   };
   const char* shared = std::getenv("TMPDIR");
+  std::unique_ptr<ServicesOfNode> services;
+  if (!options.services.empty()) services = ReadServices(options.services);
   {
-    node::Node node(read(), read, shared != nullptr ? shared : "", options.threads);
+    node::Node node(read(), read, shared != nullptr ? shared : "", options.threads,
+                    services ? services->Maker() : node::Node::PoolMaker());
     if (options.pin) {
       const decide::PinPlan plan = decide::PlanPins(AllowedUnits(), options.threads);
       log::Info("pin", {{"", plan.why}});
@@ -63,9 +67,12 @@
     if (!options.learned.empty()) state = KeepState(node, options.learned);
     std::unique_ptr<FleetOfNode> fleet;
     if (!options.peers.empty()) fleet = JoinFleet(node, options.peers);
+    std::unique_ptr<node::Joined> sharing;
+    if (services) sharing = services->Join(node, fleet.get());
     std::unique_ptr<ControlOfNode> control;
     if (!options.control.empty())
-      control = MakeControl(node, options.control, options.generation, state.get(), fleet.get());
+      control =
+          MakeControl(node, options.control, options.generation, state.get(), fleet.get(), services.get());
     node.Run();
     if (fleet) fleet->Finish();
     if (state) state->Finish();
@@ -90,6 +97,9 @@
       "Keep what is learned in this folder, which must last, and begin with it at the next start");
   serve->add_option("--peers", options->peers,
                     "Join the other nodes as this file says (deploy/schema/peers.json)");
+  serve->add_option(
+      "--services", options->services,
+      "Run on services that other nodes share, as this file says (deploy/schema/services.json)");
   serve->add_option("--generation", options->generation, "Which start this is, told to who watches");
   serve
       ->add_option("--threads", options->threads,
--- /dev/null
+++ b/src/cli/services.cpp
@@ -0,0 +1,195 @@
+// Services that a node shares with others: from their file to a group of pools.
+#include <fstream>
+#include <iterator>
+#include <pcg_extras.hpp>
+#include <pcg_random.hpp>
+#include <random>
+#include <set>
+
+#include "cli/control_of_node.h"
+#include "control/protocol.h"
+#include "log/log.h"
+#include "net/pool_group.h"
+#include "schema/schema.h"
+
+namespace hingelink::cli {
+namespace {
+
+using namespace std::chrono_literals;
+using control::Json;
+using decide::Spread;
+
+// Between two looks at who else is here.
+constexpr auto kNodesEach = 1s;
+
+net::PoolGroupOptions ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file)
+    throw std::runtime_error(path + ": cannot be read; wanted a file by deploy/schema/services.json");
+  const nlohmann::json json =
+      nlohmann::json::parse(std::string(std::istreambuf_iterator<char>(file), {}), nullptr, false, true);
+  if (json.is_discarded()) throw std::runtime_error(path + ": no JSON");
+  static const schema::Schema form(schema::ServicesSchema());
+  std::string faults;
+  const auto bad = [&](const std::string& what) {
+    faults += (faults.empty() ? "" : "\n") + path + ' ' + what;
+  };
+  for (const schema::Fault& fault : form.Check(json)) bad(fault.Text());
+  if (!faults.empty()) throw std::runtime_error(faults);
+  net::PoolGroupOptions options;
+  options.zone = json.value("zone", "");
+  options.spread.subset = json.value("subset", options.spread.subset);
+  options.spread.way = *decide::WayOf(json.value("way", decide::WayName(options.spread.way)));
+  std::set<std::string> names, addresses;
+  std::size_t place = 0;
+  for (const auto& one : json["services"]) {
+    const std::string at = "/services/" + std::to_string(place++);
+    net::ServiceAt service{one["name"], one.value("zone", ""), one.value("cores", 1.0),
+                           one.value("address", "")};
+    if (!names.insert(service.name).second)
+      bad(at + "/name: found \"" + service.name + "\" twice; wanted names of their own");
+    if (!service.address.empty() && !addresses.insert(service.address).second)
+      bad(at + "/address: found " + service.address + " twice; a pool has one link at each address");
+    if (!service.address.empty()) net::ParseAddress(service.address);
+    options.services.push_back(std::move(service));
+  }
+  if (addresses.empty() && faults.empty()) bad("/services: none has an address; wanted one to run on");
+  if (!faults.empty()) throw std::runtime_error(faults);
+  return options;
+}
+
+class SharedServices : public ServicesOfNode {
+ public:
+  explicit SharedServices(std::string path) : path_(std::move(path)), options_(ReadFile(path_)) {}
+
+  node::Node::PoolMaker Maker() override {
+    return [this](event_base* base, const std::string& name, net::PoolEvents events) {
+      net::PoolGroupOptions options = options_;
+      options.self = name;
+      auto draw = std::make_shared<pcg64>(pcg_extras::seed_seq_from<std::random_device>{});
+      options.draw = [draw] { return (*draw)(); };
+      auto group = std::make_unique<net::PoolGroup>(base, std::move(options), std::move(events));
+      group_ = group.get();
+      self_ = name;
+      log::Info("services", {{"told", options_.services.size()},
+                             {"in_use", group_->spread().in_use().size()},
+                             {"way", decide::WayName(options_.spread.way)}});
+      return group;
+    };
+  }
+  std::unique_ptr<node::Joined> Join(node::Node& node, const FleetOfNode* fleet) override;
+  std::string Spread() const override;
+  void SeeNodes(const FleetOfNode& fleet) {
+    std::vector<decide::SubsetNode> nodes;
+    for (auto& [name, zone] : fleet.Here()) nodes.push_back({name, zone});
+    group_->SetNodes(std::move(nodes));
+  }
+  void Reload() {
+    try {
+      net::PoolGroupOptions fresh = ReadFile(path_);
+      log::Info("services-reload", {{"told", fresh.services.size()}});
+      group_->SetServices(std::move(fresh.services));
+    } catch (const std::exception& fault) {
+      // What held before holds on.
+      log::Warn("services-reload-failed", {{"what", fault.what()}});
+    }
+  }
+
+ private:
+  std::string path_, self_;
+  net::PoolGroupOptions options_;
+  net::PoolGroup* group_ = nullptr;  // The node's.
+};
+
+class Sharing : public node::Joined {
+ public:
+  Sharing(node::Node& node, SharedServices& services, const FleetOfNode* fleet)
+      : node_(node), services_(services), fleet_(fleet) {
+    node_.Join(*this);
+  }
+  ~Sharing() override { node_.Part(*this); }
+  void Turned(Turn turn) override {
+    if (turn == Turn::kReloaded) services_.Reload();
+  }
+  void Sweep() override {
+    const auto now = net::Steady::now();
+    if (fleet_ == nullptr || now - seen_ < kNodesEach) return;
+    seen_ = now;
+    services_.SeeNodes(*fleet_);
+  }
+
+ private:
+  node::Node& node_;
+  SharedServices& services_;
+  const FleetOfNode* fleet_;
+  net::Steady::time_point seen_{};
+};
+
+std::unique_ptr<node::Joined> SharedServices::Join(node::Node& node, const FleetOfNode* fleet) {
+  return std::make_unique<Sharing>(node, *this, fleet);
+}
+
+std::string SharedServices::Spread() const {
+  const decide::Spread& spread = group_->spread();
+  const decide::FleetTime now = group_->Now();
+  Json json = {{"self", self_},
+               {"way", decide::WayName(options_.spread.way)},
+               {"nodes", spread.nodes()},
+               {"in_use", spread.in_use().size()},
+               {"links", group_->links()},
+               {"in_hand", group_->in_hand()}};
+  json["services"] = Json::array();
+  for (const Spread::Id id : spread.all()) {
+    const Spread::Look look = spread.LookAt(now, id);
+    Json one = {{"name", look.name},
+                {"zone", look.zone},
+                {"cores", look.capacity},
+                {"state", decide::StandingName(look.standing)},
+                {"fault", decide::FaultName(look.fault)},
+                {"in_use", look.in_use},
+                {"extra", look.extra},
+                {"sharers", look.sharers},
+                {"own", look.own},
+                {"starts", look.starts},
+                {"errors", look.errors},
+                {"never_ran", look.never_ran},
+                {"asides", look.asides},
+                {"believed", look.believed},
+                {"slowness", look.slowness},
+                {"run_ms", look.run_ms}};
+    if (look.told >= 0) {
+      one["told"] = look.told;
+      one["told_ago_ms"] = look.told_ago.count();
+    }
+    if (look.tried_ago.count() >= 0) one["tried_ago_ms"] = look.tried_ago.count();
+    if (look.standing == decide::Standing::kAside) one["aside_for_ms"] = look.aside_for.count();
+    json["services"].push_back(std::move(one));
+  }
+  json["recent"] = Json::array();
+  for (const Spread::Decision& decision : spread.recent()) {
+    Json one = {{"ago_ms", (now - decision.at).count()},
+                {"to", spread.LookAt(now, decision.service).name},
+                {"why", decide::WhyName(decision.why)},
+                {"cost", decision.cost}};
+    if (decision.other != Spread::kNone) {
+      one["beside"] = spread.LookAt(now, decision.other).name;
+      one["beside_cost"] = decision.other_cost;
+    }
+    json["recent"].push_back(std::move(one));
+  }
+  const Spread::Counts& c = spread.counts();
+  json["counts"] = {
+      {"starts", c.starts},   {"repeats", c.repeats},     {"repeats_refused", c.repeats_refused},
+      {"untried", c.untried}, {"trials", c.trials},       {"asides", c.asides},
+      {"returns", c.returns}, {"widened", c.widened},     {"narrowed", c.narrowed},
+      {"asked", c.asked},     {"all_aside", c.all_aside}, {"none_up", c.none_up}};
+  return json.dump();
+}
+
+}  // namespace
+
+std::unique_ptr<ServicesOfNode> ReadServices(const std::string& path) {
+  return std::make_unique<SharedServices>(path);
+}
+
+}  // namespace hingelink::cli
--- a/src/lab/rig/rig.cpp
+++ b/src/lab/rig/rig.cpp
@@ -30,6 +30,8 @@
 using net::Steady;
 
 constexpr auto kBeat = 5ms;
+// Of services that are shared: up to so many pairs each node can reach all.
+constexpr std::size_t kAllPairs = 500, kSpareServices = 3;
 constexpr auto kPatience = 60s;
 
 // A process of the rig's own: started, signalled and waited for by its number, which stays its own until
@@ -204,9 +206,11 @@
     standins_.Do([&] {
       registry_ = std::make_unique<standin::Registry>(standins_.base(), standin::RegistryOptions{});
       registry = registry_->address();
-      for (std::size_t i = 0; i < count_; ++i) {
+      const std::vector<std::size_t> users = Users();
+      for (std::size_t i = 0; i < weather_.parties().pools; ++i) {
         standin::PoolOptions pool;
         pool.cores.count = scenario_.fleet.cores;
+        if (shared()) pool.listen.assign(std::max<std::size_t>(1, users[i]), "127.0.0.1:0");
         pools_.push_back(std::make_unique<standin::Pool>(standins_.base(), pool));
         pools.push_back(pools_.back()->address());
       }
@@ -220,11 +224,19 @@
       for (std::size_t i = 0; i < count_; ++i) {
         connections_.push_back(
             std::make_unique<ConnectionRelay>(host, parties.Gateways(), i, nodes_[i].listen, counts_));
-        connections_.push_back(
-            std::make_unique<ConnectionRelay>(host, i, parties.Pool(i), pools[i], counts_));
+        connections_.push_back(std::make_unique<ConnectionRelay>(host, i, parties.Pool(shared() ? 0 : i),
+                                                                 pools[shared() ? 0 : i], counts_));
         connections_.push_back(
             std::make_unique<ConnectionRelay>(host, i, parties.Registry(), registry, counts_));
       }
+      std::vector<std::size_t> next(shared() ? pools_.size() : 0, 0);
+      for (std::size_t i = 0; i < rows_.size(); ++i) {
+        for (const std::uint32_t s : rows_[i]) {
+          connections_.push_back(std::make_unique<ConnectionRelay>(host, i, parties.Pool(s),
+                                                                   pools_[s]->address(next[s]++), counts_));
+          service_at_[{i, s}] = connections_.back()->address();
+        }
+      }
       beat_.emplace(relays_.base(), [this] { Beat(); });
       next_beat_ = Steady::now() + kBeat;
       beat_->After(kBeat);
@@ -232,9 +244,41 @@
     for (std::size_t i = 0; i < count_; ++i) {
       WriteKeys(i, {kFirstKey});
       WriteConfig(i, connections_[3 * i + 1]->address());
+      if (shared()) WriteServices(i);
     }
   }
 
+  bool shared() const { return scenario_.fleet.services > 0; }
+
+  // How many nodes may come to use each service; rows_ has which. A relay for each pair would be more sockets
+  // than a process has, and a node needs those that it uses and some to widen to.
+  std::vector<std::size_t> Users() {
+    std::vector<std::size_t> users(weather_.parties().pools, 0);
+    if (!shared()) return users;
+    // While its start lasts a node knows few others, and may use other services than later.
+    const bool all = count_ * users.size() <= kAllPairs;
+    rows_ = options_.services_of(scenario_, all ? users.size() : scenario_.fleet.subset + kSpareServices);
+    for (const auto& row : rows_) {
+      for (const std::uint32_t s : row) ++users[s];
+    }
+    return users;
+  }
+
+  void WriteServices(std::size_t i) {
+    nlohmann::ordered_json json = {{"zone", scenario_.fleet.zones[i % scenario_.fleet.zones.size()]},
+                                   {"subset", scenario_.fleet.subset}};
+    if (!scenario_.fleet.way.empty()) json["way"] = scenario_.fleet.way;
+    json["services"] = nlohmann::ordered_json::array();
+    for (std::size_t s = 0; s < pools_.size(); ++s) {
+      nlohmann::ordered_json one = {{"name", "s" + std::to_string(s)},
+                                    {"zone", scenario_.fleet.zones[s % scenario_.fleet.zones.size()]},
+                                    {"cores", scenario_.fleet.cores}};
+      if (const auto at = service_at_.find({i, s}); at != service_at_.end()) one["address"] = at->second;
+      json["services"].push_back(std::move(one));
+    }
+    std::ofstream(nodes_[i].folder + "/services.json") << json.dump(2);
+  }
+
   void WriteKeys(std::size_t i, const std::vector<std::string>& names) {
     std::string lines;
     for (const std::string& name : names) {
@@ -295,6 +339,7 @@
     std::vector<std::string> words = {options_.program, "serve",     "--config",
                                       node.config,      "--control", node.control};
     if (options_.peers) words.insert(words.end(), {"--peers", node.folder + "/peers.json"});
+    if (shared()) words.insert(words.end(), {"--services", node.folder + "/services.json"});
     node.process->Start(words, node.folder);
   }
 
@@ -306,7 +351,8 @@
   // A second process beside the one that serves, with a worker pool of its own; they settle the rest.
   void Upgrade(std::size_t i) {
     Node& node = nodes_[i];
-    if (!node.process->running() || node.frozen) return;
+    // With shared services it would need addresses of its own at each of them.
+    if (!node.process->running() || node.frozen || shared()) return;
     std::string pool;
     standins_.Do([&] {
       standin::PoolOptions options;
@@ -373,6 +419,20 @@
             }
           });
         });
+      } else if (fault.do_ >= Do::kDegrade) {
+        Add(fault.at, [this, &fault, end] {
+          standins_.Do([&] {
+            for (std::size_t s = fault.who.first; s <= fault.who.last; ++s) {
+              standin::PoolFault cause;
+              cause.kind = fault.do_ == Do::kDegrade  ? standin::PoolFault::Kind::kSlow
+                           : fault.do_ == Do::kErrors ? standin::PoolFault::Kind::kErrors
+                                                      : standin::PoolFault::Kind::kHang;
+              cause.lasts = end - fault.at;
+              cause.factor = fault.share;
+              pools_[s]->Cause(cause);
+            }
+          });
+        });
       } else if (OnLinks(fault.do_)) {
         Add(fault.at, [this, f] { relays_.Do([&] { weather_.Switch(f, true); }); });
         Add(end, [this, f] { relays_.Do([&] { weather_.Switch(f, false); }); });
@@ -445,7 +505,8 @@
     });
   }
   double Rate(double share) const {
-    return std::max(0.1, share * options_.capacity(scenario_.fleet.cores) * static_cast<double>(count_));
+    return std::max(0.1, share * options_.capacity(scenario_.fleet.cores) *
+                             static_cast<double>(shared() ? pools_.size() : count_));
   }
 
   // Until every node that was started answers; the scenario's time begins then.
@@ -474,7 +535,7 @@
     // Looks are one after the other, and a view is as long as the fleet.
     const double looked = static_cast<double>(count_ * count_) * 0.02;
     const Millis each = std::max(options_.look_each, Millis(looked));
-    Millis next_look = each;
+    Millis next_look = each, next_window{1'000};
     grain_ = each;
     while (Now() < scenario_.length) {
       if (next < events_.size() && events_[next].at <= Now()) {
@@ -488,12 +549,18 @@
         ++next_load;
         continue;
       }
+      if (shared() && next_window <= Now()) {
+        Window();
+        next_window += 1s;
+        continue;
+      }
       if (next_look <= Now()) {
         Look();
         next_look = std::max(Now(), next_look + each);
         continue;
       }
       Millis until = std::min(next_look, scenario_.length);
+      if (shared()) until = std::min(until, next_window);
       if (next < events_.size()) until = std::min(until, events_[next].at);
       if (next_load < scenario_.load.size()) until = std::min(until, scenario_.load[next_load].at);
       std::this_thread::sleep_until(began_ + std::chrono::duration_cast<Steady::duration>(until));
@@ -502,6 +569,8 @@
 
   void Look() {
     std::vector<std::optional<NodeView>> views(count_);
+    std::vector<Millis> seen_at(count_,
+                                Millis(0));  // Of hundreds, the last is seen much later than the first.
     const Millis at = Now();
     std::size_t live = 0;
     for (std::size_t i = 0; i < count_; ++i) {
@@ -519,6 +588,7 @@
       ++live;
       if (node.frozen || !options_.peers) continue;
       views[i] = options_.look(node.control);
+      seen_at[i] = Now();
       if (views[i] && views[i]->cut_off) cut_off_.insert(node.name);
     }
     if (!options_.peers) return;
@@ -537,7 +607,7 @@
         }
         for (Kill& kill : kills_) {
           if (!kill.times.open || kill.node != about || !kill.knows.insert(i).second) continue;
-          kill.times.Learn(kill.knows.size(), live, at - kill.at);
+          kill.times.Learn(kill.knows.size(), live, seen_at[i] - kill.at);
         }
       }
     }
@@ -557,6 +627,24 @@
     }
   }
 
+  // How evenly the services were used in the last second.
+  void Window() {
+    std::vector<std::uint64_t> started;
+    standins_.Do([&] {
+      for (const auto& pool : pools_) started.push_back(pool->counts().started);
+    });
+    if (!started_.empty()) {
+      double most = 0, all = 0;
+      for (std::size_t s = 0; s < started.size(); ++s) {
+        const auto now = static_cast<double>(started[s] - started_[s]);
+        most = std::max(most, now);
+        all += now;
+      }
+      if (all > 0) windows_.push_back(most * static_cast<double>(started.size()) / all);
+    }
+    started_ = std::move(started);
+  }
+
   // Empty where all that live and run hold exactly those that live, in their newest life.
   std::string Disagreement(const std::vector<std::optional<NodeView>>& views, std::size_t live) const {
     for (std::size_t i = 0; i < count_; ++i) {
@@ -598,6 +686,19 @@
         if (account.worst_lag > options_.late_most) result_.is_void = true;
       });
     }
+    if (shared()) {
+      standins_.Do([&] {
+        for (const auto& pool : pools_) {
+          result_.started.push_back(pool->counts().started);
+          result_.errors.push_back(pool->counts().errors);
+          result_.most_running.push_back(pool->counts().most_running);
+        }
+      });
+      for (const double window : windows_) {
+        result_.most_1s += window / static_cast<double>(windows_.size());
+        result_.worst_1s = std::max(result_.worst_1s, window);
+      }
+    }
     relays_.Do([&] {
       result_.relay = counts_;
       if (!late_.empty()) {
@@ -653,6 +754,10 @@
             Violate(std::to_string(account.lost) + " requests lost, " + std::to_string(account.unanswered) +
                     " unanswered");
           break;
+        case Check::kEven:
+          if (result_.most_1s > assertion.most)
+            Violate("the busiest service has " + std::to_string(result_.most_1s) + " times the mean");
+          break;
         case Check::kServed: {
           const double share = account.requests == 0 ? 0
                                                      : static_cast<double>(account.good) /
@@ -697,7 +802,11 @@
   std::set<std::string> cut_off_;
   std::map<std::string, std::string> keys_;  // Lines, by the scenario's names.
   std::map<std::size_t, std::unique_ptr<Forger>> forgers_;
-  Millis grain_{0};  // Between two looks.
+  Millis grain_{0};                               // Between two looks.
+  std::vector<std::vector<std::uint32_t>> rows_;  // Of services that are shared, by node.
+  std::map<std::pair<std::size_t, std::size_t>, std::string> service_at_;  // By node and service.
+  std::vector<std::uint64_t> started_;
+  std::vector<double> windows_;
   bool disagreed_ = false;
   RigResult result_;
 };
@@ -738,6 +847,12 @@
       {"cpu_share", Round(cpu_share)},
       {"cpu_most", Round(cpu_most)},
       {"forged", forged},
+      {"spread",
+       {{"started", started},
+        {"errors", errors},
+        {"most_running", most_running},
+        {"most_1s", Round(most_1s)},
+        {"worst_1s", Round(worst_1s)}}},
       {"rss_mb", Round(rss_mb)},
       {"cut_off", cut_off},
       {"crashed", crashed}};
--- a/src/lab/rig/rig.h
+++ b/src/lab/rig/rig.h
@@ -39,8 +39,10 @@
   // Asks the control socket at this path; nothing where it does not answer.
   std::function<std::optional<NodeView>(const std::string& socket)> look;
   std::function<std::string()> new_key;  // A line of a key file, drawn now.
-  std::string folder;                    // Must be there and empty; logs and sockets go into it.
-  bool peers = true;                     // Whether the nodes join each other.
+  // Of services that are shared: those that each node uses, where it uses so many.
+  std::function<std::vector<std::vector<std::uint32_t>>(const Scenario&, std::size_t size)> services_of;
+  std::string folder;     // Must be there and empty; logs and sockets go into it.
+  bool peers = true;      // Whether the nodes join each other.
   Millis look_each{200};  // And so much longer that looks take no more than a part of the time.
   // Beyond these the rig was the bound, and the run says nothing.
   Millis late_most{500}, late_99{25};
@@ -63,6 +65,10 @@
   double cpu_share = 0;              // Of a core, mean of the nodes ...
   double cpu_most = 0;               // ... and the busiest one.
   std::uint64_t forged = 0;          // Datagrams.
+  // Of services that are shared, by their own counts: runs started, ended with an error, and most at a time;
+  // the busiest over the mean in windows of 1 s, mean and worst.
+  std::vector<std::uint64_t> started, errors, most_running;
+  double most_1s = 0, worst_1s = 0;
   double rss_mb = 0;                 // Mean of the nodes at the end.
   std::vector<std::string> crashed;  // Processes that ended by themselves.
 
--- a/src/lab/scenario/scenario.cpp
+++ b/src/lab/scenario/scenario.cpp
@@ -16,12 +16,12 @@
 
 using Json = nlohmann::ordered_json;
 
-constexpr const char* kDoNames[] = {"cut",   "delay", "loss", "duplicate", "reorder", "throttle",
-                                    "reset", "stall", "kill", "freeze",    "pace",    "wall",
-                                    "slow",  "forge", "keys", "upgrade"};
-constexpr const char* kCheckNames[] = {"views-agree", "nobody-gone", "none-dropped",     "gone-known",
-                                       "back",        "bytes",       "false-suspicions", "cut-off-said",
-                                       "served",      "whole"};
+constexpr const char* kDoNames[] = {
+    "cut",  "delay", "loss", "duplicate", "reorder", "throttle", "reset",   "stall",  "kill", "freeze",
+    "pace", "wall",  "slow", "forge",     "keys",    "upgrade",  "degrade", "errors", "hang"};
+constexpr const char* kCheckNames[] = {
+    "views-agree",      "nobody-gone",  "none-dropped", "gone-known", "back", "bytes",
+    "false-suspicions", "cut-off-said", "served",       "even",       "whole"};
 
 template <class Enum, std::size_t N>
 Enum FromName(const char* const (&names)[N], const std::string& name) {
@@ -51,6 +51,10 @@
       bad(at,
           "found \"" + who.text + "\"; wanted nodes from 0 to " + std::to_string(scenario.fleet.nodes - 1));
     }
+    if (who.kind == Who::Kind::kServices && (who.first > who.last || who.last >= scenario.fleet.services)) {
+      bad(at, "found \"" + who.text + "\"; wanted services below /fleet/services, " +
+                  std::to_string(scenario.fleet.services));
+    }
     const auto& zones = scenario.fleet.zones;
     if (who.kind == Who::Kind::kZone && std::find(zones.begin(), zones.end(), who.zone) == zones.end()) {
       bad(at, "found \"" + who.text + "\"; wanted a zone of /fleet/zones");
@@ -70,6 +74,14 @@
       bad(at + "/who",
           "found \"" + fault.who.text + "\"; a process fault wants nodes, pools or the registry");
     }
+    const bool on_services = fault.do_ >= Do::kDegrade;
+    if (!OnLinks(fault.do_) && on_services != (kind == Who::Kind::kServices)) {
+      bad(at + "/who", std::string("found \"") + fault.who.text + "\"; \"" + NameOf(fault.do_) + "\" wants " +
+                           (on_services ? "services" : "nodes"));
+    }
+    if (fault.do_ == Do::kDegrade && fault.share <= 1) {
+      bad(at + "/share", "wanted above 1: how many times as long work takes");
+    }
     if (fault.do_ == Do::kPace && (fault.share <= 0 || fault.share > 100)) {
       bad(at + "/share", "wanted above 0: how many times as fast the clock runs");
     }
@@ -123,13 +135,20 @@
       who.last = Number(tail.substr(dash + 1));
       return who;
     }
+    if (head == "service" || head == "services") {
+      const std::size_t dash = head == "service" ? std::string::npos : tail.find('-');
+      who.kind = Who::Kind::kServices;
+      who.first = Number(tail.substr(0, dash));
+      who.last = dash == std::string::npos ? who.first : Number(tail.substr(dash + 1));
+      return who;
+    }
     if (head == "zone" && !tail.empty()) return who.kind = Who::Kind::kZone, who.zone = tail, who;
     if (head == "share") return who.kind = Who::Kind::kShare, who.share = std::stod(tail), who;
   } catch (const std::exception&) {
   }
-  throw std::invalid_argument(
-      "found \"" + text +
-      "\"; wanted all, nodes, node:3, nodes:0-4, zone:a, share:0.2, rest, gateways, pools or registry");
+  throw std::invalid_argument("found \"" + text +
+                              "\"; wanted all, nodes, node:3, nodes:0-4, zone:a, share:0.2, service:3, "
+                              "services:0-4, rest, gateways, pools or registry");
 }
 
 Millis Scenario::LastFault() const {
@@ -180,6 +199,7 @@
     case Who::Kind::kGateways:
     case Who::Kind::kPools:
     case Who::Kind::kRegistry:
+    case Who::Kind::kServices:
       break;
   }
   return in;
@@ -214,6 +234,9 @@
   f.zones = fleet.value("zones", f.zones);
   f.gateways = fleet.value("gateways", f.gateways);
   f.cores = fleet.value("cores", f.cores);
+  f.services = fleet.value("services", f.services);
+  f.subset = fleet.value("subset", f.subset);
+  f.way = fleet.value("way", f.way);
   f.delay = Millis(fleet.value("delay_ms", f.delay.count()));
   f.jitter = Millis(fleet.value("jitter_ms", f.jitter.count()));
   f.loss = fleet.value("loss", f.loss);
@@ -274,11 +297,14 @@
                  {"zones", f.zones},
                  {"gateways", f.gateways},
                  {"cores", f.cores},
+                 {"services", f.services},
+                 {"subset", f.subset},
                  {"delay_ms", f.delay.count()},
                  {"jitter_ms", f.jitter.count()},
                  {"loss", f.loss},
                  {"start_within_ms", f.start_within.count()},
                  {"seeds", f.seeds}}}};
+  if (!f.way.empty()) json["fleet"]["way"] = f.way;
   json["load"] = Json::array();
   for (const LoadStep& step : scenario.load)
     json["load"].push_back({{"at_ms", step.at.count()}, {"share", step.share}});
--- a/src/lab/scenario/scenario.h
+++ b/src/lab/scenario/scenario.h
@@ -23,10 +23,10 @@
 };
 
 // Who: "all", "nodes", "node:3", "nodes:0-4", "zone:a", "share:0.2" (drawn by the seed, the same ones for the
-// same share), "rest" (as one end of a link: all nodes that are not at the other), "gateways", "pools",
-// "registry".
+// same share), "service:3", "services:0-4", "rest" (as one end of a link: all nodes that are not at the
+// other), "gateways", "pools", "registry".
 struct Who {
-  enum class Kind { kAll, kNodes, kRange, kZone, kShare, kRest, kGateways, kPools, kRegistry };
+  enum class Kind { kAll, kNodes, kRange, kZone, kShare, kRest, kGateways, kPools, kRegistry, kServices };
   Kind kind = Kind::kAll;
   std::size_t first = 0, last = 0;
   std::string zone;
@@ -53,6 +53,9 @@
   kForge,      // `rate` forged datagrams a second at each: real ones with a bit turned. Real processes only.
   kKeys,       // They are told these `keys`, by name: the first signs, each is believed. Once.
   kUpgrade,    // A successor of the same name and addresses takes over. Once.
+  kDegrade,    // Services: work takes `share` times as long. Real processes only.
+  kErrors,     // Services: each run fails. Real processes only.
+  kHang,       // Services: they stand still. Real processes only.
 };
 const char* NameOf(Do what);
 
@@ -83,7 +86,10 @@
   std::size_t nodes = 5;
   std::vector<std::string> zones = {""};  // In turn.
   std::size_t gateways = 3;
-  int cores = 2;  // Of each node's worker pool.
+  std::size_t services = 0;  // Pools that all nodes share, zones in turn; 0: each node has one of its own.
+  std::size_t subset = 8;    // Of them, that a node uses.
+  std::string way;           // Of choosing among them; empty: the program's own.
+  int cores = 2;             // Of each node's worker pool.
   Millis delay{0.5};
   Millis jitter{0.5};
   double loss = 0;
@@ -102,7 +108,8 @@
   kFalse,        // At most `most` suspicions an hour and node of nodes that lived and were not cut off.
   kCutOffSaid,   // `who` held its view at some time.
   kServed,       // At least `least` of the requests were served in time. Real processes only.
-  kWhole,        // No answer lost, wrong, twice or missing. Real processes only.
+  kEven,   // In windows of 1 s the busiest service has at most `most` times the mean, in the mean of them.
+  kWhole,  // No answer lost, wrong, twice or missing. Real processes only.
 };
 const char* NameOf(Check what);
 
--- a/src/lab/scenario/weather.cpp
+++ b/src/lab/scenario/weather.cpp
@@ -19,7 +19,10 @@
       in[parties.Registry()] = true;
       break;
     case Who::Kind::kPools:
-      for (std::size_t i = 0; i < parties.nodes; ++i) in[parties.Pool(i)] = true;
+      for (std::size_t i = 0; i < parties.pools; ++i) in[parties.Pool(i)] = true;
+      break;
+    case Who::Kind::kServices:
+      for (std::size_t i = who.first; i <= who.last && i < parties.pools; ++i) in[parties.Pool(i)] = true;
       break;
     default: {
       const std::vector<bool> nodes = NodesOf(scenario, who, &other);
@@ -32,7 +35,9 @@
 
 }  // namespace
 
-Weather::Weather(const Scenario& scenario) : parties_{scenario.fleet.nodes} {
+Weather::Weather(const Scenario& scenario)
+    : parties_{scenario.fleet.nodes,
+               scenario.fleet.services > 0 ? scenario.fleet.services : scenario.fleet.nodes} {
   for (const Fault& fault : scenario.faults) {
     Link link;
     link.fault = &fault;
--- a/src/lab/scenario/weather.h
+++ b/src/lab/scenario/weather.h
@@ -13,13 +13,14 @@
 
 namespace hingelink::lab {
 
-// A party by number: the nodes, then the worker pool of each, then the gateways and the registry.
+// A party by number: the nodes, then the worker pools (of each node, or the services that all share), then
+// the gateways and the registry.
 struct Parties {
-  std::size_t nodes = 0;
-  std::size_t Pool(std::size_t node) const { return nodes + node; }
-  std::size_t Gateways() const { return 2 * nodes; }
-  std::size_t Registry() const { return 2 * nodes + 1; }
-  std::size_t size() const { return 2 * nodes + 2; }
+  std::size_t nodes = 0, pools = 0;
+  std::size_t Pool(std::size_t pool) const { return nodes + pool; }
+  std::size_t Gateways() const { return nodes + pools; }
+  std::size_t Registry() const { return nodes + pools + 1; }
+  std::size_t size() const { return nodes + pools + 2; }
 };
 
 // From 0 to under 1.
--- /dev/null
+++ b/src/net/pool_group.cpp
@@ -0,0 +1,281 @@
+#include "net/pool_group.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "log/log.h"
+
+namespace hingelink::net {
+namespace {
+
+using namespace std::chrono_literals;
+using decide::FleetTime;
+using decide::RunEndsAs;
+using decide::Spread;
+using decide::SpreadRun;
+
+constexpr auto kTickEach = 25ms;
+// Gauges of services are asked for more seldom than those of one pool of its own.
+constexpr FleetTime kGaugesGood{1'000};
+// Links beyond those of the services in use, so that there is something to widen to.
+constexpr std::size_t kSpare = 2;
+constexpr int kPlaceBits = 48;
+
+PoolSide::Mark MarkOf(Spread::Id id, PoolSide::Mark mark) {
+  return (static_cast<PoolSide::Mark>(id) << kPlaceBits) | mark;
+}
+
+std::vector<decide::SubsetService> Records(const std::vector<ServiceAt>& services) {
+  std::vector<decide::SubsetService> records;
+  for (const ServiceAt& s : services) records.push_back({s.name, s.zone, s.cores});
+  return records;
+}
+
+}  // namespace
+
+PoolGroup::PoolGroup(event_base* base, PoolGroupOptions options, PoolEvents events)
+    : base_(base),
+      options_(std::move(options)),
+      events_(std::move(events)),
+      spread_(options_.spread, options_.self, options_.zone, options_.draw),
+      timer_(base, [this] { Tick(); }) {
+  SetServices(options_.services);
+  Tick();
+}
+
+PoolGroup::~PoolGroup() = default;
+
+std::size_t PoolGroup::links() const {
+  return static_cast<std::size_t>(std::count_if(services_.begin(), services_.end(),
+                                                [](const auto& s) { return s.second.link != nullptr; }));
+}
+
+void PoolGroup::SetServices(std::vector<ServiceAt> services) {
+  for (auto& [id, service] : services_) service.told = false;
+  spread_.SetServices(Now(), Records(services));
+  for (const ServiceAt& at : services) {
+    if (const auto known = services_.find(spread_.Find(at.name)); known != services_.end()) {
+      known->second.told = known->second.at.name == at.name;
+    }
+  }
+  // At once: guards against one that is told again before the next tick, which Spread has anew and without a
+  // link by then.
+  std::erase_if(services_, [this](auto& service) {
+    if (service.second.told || service.second.owed > 0) return false;
+    if (service.second.up) --up_;
+    return true;
+  });
+  for (ServiceAt& at : services) {
+    const Id id = spread_.Find(at.name);
+    Service& service = services_[id];
+    if (service.link && service.at.address != at.address) {
+      // The same one elsewhere: guards against a write that is sent anew to what may have run it.
+      if (at.address.empty()) {
+        if (service.up) SetUp(id, false);
+        service.link.reset();
+      } else {
+        service.link->Move(ParseAddress(at.address));
+      }
+    }
+    service.at = std::move(at);
+    service.told = true;
+  }
+  MixGauges();
+}
+
+void PoolGroup::SetNodes(std::vector<decide::SubsetNode> nodes) { spread_.SetNodes(Now(), std::move(nodes)); }
+
+void PoolGroup::Connect(Id id) {
+  Service& service = services_[id];
+  if (service.link || service.at.address.empty()) return;
+  service.down_since = Now();
+  service.link = std::make_unique<PoolLink>(
+      base_, ParseAddress(service.at.address),
+      PoolLink::Events{.bound =
+                           [this](bool cold) {
+                             // The module begins with the first.
+                             if (!std::exchange(bound_, true)) events_.bound(cold);
+                           },
+                       .finished = [this, id](const proto::RunFinished& run) { Finished(id, run); },
+                       .spawn_unknown = [this, id](std::uint64_t req) { Unknown(id, req); },
+                       .settled = [this, id] { Settled(id); },
+                       .lost = [this, id] { SetUp(id, false); },
+                       .polled = [this, id] { Polled(id); }});
+}
+
+void PoolGroup::SetUp(Id id, bool up) {
+  Service& service = services_[id];
+  if (service.up == up) return;
+  service.up = up;
+  up_ += up ? 1 : static_cast<std::size_t>(-1);
+  service.asked.reset();
+  service.gauges.clear();
+  if (!up) service.down_since = Now();
+  spread_.SetUp(Now(), id, up);
+  MixGauges();
+}
+
+void PoolGroup::Settled(Id id) {
+  SetUp(id, true);
+  settling_ = id;
+  // Spawns of this service that it may not have read, and those that were never sent anywhere.
+  events_.settled();
+  settling_ = Spread::kNone;
+}
+
+bool PoolGroup::Processed(Mark mark) const {
+  if (mark == kNeverSent) return false;
+  const auto id = static_cast<Id>(mark >> kPlaceBits);
+  // Guards against sending again what other services have in hand.
+  if (id != settling_) return true;
+  return services_.at(id).link->Processed(mark & ((Mark{1} << kPlaceBits) - 1));
+}
+
+std::uint32_t PoolGroup::KindOf(std::string_view kind) {
+  const auto at = kinds_.find(kind);
+  if (at != kinds_.end()) return at->second;
+  return kinds_.emplace(std::string(kind), static_cast<std::uint32_t>(kinds_.size())).first->second;
+}
+
+PoolSide::Mark PoolGroup::Spawn(std::uint64_t req, std::string_view kind, std::string_view body) {
+  auto it = sent_.find(req);
+  if (it == sent_.end()) {
+    const SpreadRun run{KindOf(kind), events_.safe(kind)};
+    const auto start = spread_.Choose(Now(), run);
+    if (!start) return kNeverSent;
+    it = sent_.emplace(req, Sent{start->service, run}).first;
+    ++services_[start->service].owed;
+  }
+  // Sent again to where it was sent: the pool tells then how it ended, and starts nothing twice.
+  Service& service = services_[it->second.service];
+  const Mark mark = service.link ? service.link->Spawn(req, kind, body) : kNeverSent;
+  // Guards against a run that is counted nowhere: the link broke just now, and its end settles it.
+  return mark == kNeverSent ? MarkOf(it->second.service, (Mark{1} << kPlaceBits) - 2)
+                            : MarkOf(it->second.service, mark);
+}
+
+void PoolGroup::Drop(std::unordered_map<std::uint64_t, Sent>::iterator it) {
+  --services_[it->second.service].owed;
+  sent_.erase(it);
+}
+
+void PoolGroup::Finished(Id id, const proto::RunFinished& run) {
+  const auto it = sent_.find(run.req);
+  // Of a run that has ended elsewhere, or told again by a pool to a link that is new here.
+  if (it == sent_.end()) return;
+  const Sent& sent = it->second;
+  if (sent.service == id) {
+    const RunEndsAs how = run.end == proto::RunEnd::kComplete ? RunEndsAs::kWell : RunEndsAs::kError;
+    spread_.Ended(Now(), id, sent.run, how, run.elapsed);
+  } else if (run.end != proto::RunEnd::kComplete) {
+    // Where it was before it was moved: that it failed there decides nothing.
+    return;
+  } else {
+    spread_.Forgotten(Now(), sent.service);
+  }
+  Drop(it);
+  events_.finished(run);
+}
+
+void PoolGroup::Unknown(Id id, std::uint64_t req) {
+  const auto it = sent_.find(req);
+  if (it == sent_.end() || it->second.service != id) return events_.spawn_unknown(req);
+  spread_.Ended(Now(), id, it->second.run, RunEndsAs::kNeverRan, FleetTime(0));
+  const bool only_there = it->second.before == Spread::kNone;
+  if (it->second.tries == 1 && only_there && spread_.MayRepeat()) return Again(req, it->second, true);
+  Drop(it);
+  events_.spawn_unknown(req);
+}
+
+// Somewhere else, once. The table sends it: it has the body.
+void PoolGroup::Again(std::uint64_t req, Sent& sent, bool never_ran) {
+  const Id from = sent.service;
+  const auto start = spread_.Choose(Now(), sent.run, from);
+  if (!start || start->service == from) {
+    if (start) spread_.Forgotten(Now(), from);
+    if (!never_ran) return;  // It stays, and is owed there.
+    Drop(sent_.find(req));
+    events_.spawn_unknown(req);
+    return;
+  }
+  if (!never_ran) {
+    spread_.Forgotten(Now(), from);
+    sent.before = from;
+  }
+  --services_[from].owed;
+  sent.service = start->service;
+  ++services_[sent.service].owed;
+  ++sent.tries;
+  if (events_.again(req)) return;
+  // Nobody waits any more.
+  spread_.Forgotten(Now(), sent.service);
+  Drop(sent_.find(req));
+}
+
+void PoolGroup::Polled(Id id) {
+  Service& service = services_[id];
+  service.gauges = service.link->last_gauges();
+  service.gauges_at = Now();
+  const std::size_t at = events_.gauge_at("runnable");
+  if (service.asked && at < service.gauges.size())
+    spread_.Told(Now(), id, service.gauges[at], *service.asked);
+  service.asked.reset();
+  MixGauges();
+}
+
+void PoolGroup::MixGauges() {
+  gauges_.clear();
+  double cores = 0;
+  const FleetTime now = Now();
+  for (const Id id : spread_.in_use()) {
+    const Service& s = services_[id];
+    if (!s.up || s.gauges.empty() || now - s.gauges_at > kGaugesGood) continue;
+    if (gauges_.empty()) gauges_.resize(s.gauges.size());
+    for (std::size_t g = 0; g < gauges_.size() && g < s.gauges.size(); ++g)
+      gauges_[g] += s.gauges[g] * s.at.cores;
+    cores += s.at.cores;
+  }
+  for (double& gauge : gauges_) gauge /= cores;
+}
+
+void PoolGroup::Tick() {
+  timer_.After(kTickEach);
+  const FleetTime now = Now();
+  spread_.Tick(now);
+  for (const Id id : spread_.in_use()) Connect(id);
+  std::size_t spare = 0;
+  for (const Id id : spread_.spares(kSpare)) {
+    Connect(id);
+    ++spare;
+  }
+  for (auto it = services_.begin(); it != services_.end();) {
+    Service& s = it->second;
+    const bool wanted =
+        s.told && (spread_.LookAt(now, it->first).in_use || spread_.IsSpare(it->first, kSpare));
+    if (!wanted && s.owed == 0 && s.link) {
+      if (s.up) SetUp(it->first, false);
+      s.link.reset();
+    }
+    it = !s.told && !s.link ? services_.erase(it) : std::next(it);
+  }
+  for (const Id id : spread_.ToAsk(now)) {
+    Service& s = services_[id];
+    if (!s.up || s.asked) continue;
+    s.asked = now;
+    s.link->Poll();
+  }
+  // What waits at a service that is away, and may run twice.
+  std::vector<std::uint64_t> leave;
+  for (const auto& [req, sent] : sent_) {
+    const Service& s = services_[sent.service];
+    if (!s.up && sent.run.safe && sent.tries == 1 && now - s.down_since > FleetTime(options_.leave_after))
+      leave.push_back(req);
+  }
+  std::sort(leave.begin(), leave.end());
+  for (const std::uint64_t req : leave) {
+    if (up_ == 0 || !spread_.MayRepeat()) break;
+    Again(req, sent_.at(req), false);
+  }
+}
+
+}  // namespace hingelink::net
--- /dev/null
+++ b/src/net/pool_group.h
@@ -0,0 +1,116 @@
+// Several worker pools ("services") as one, shared with other nodes: links to those that this node uses, and
+// what decide::Spread says of them carried out. Each pool has an address of its own for each node, as the
+// protocol has one link at each address.
+//
+// A run stays where it was sent: what was sent there again is sent there, whatever Spread would choose now.
+// It goes elsewhere only if the service proves that it never ran, or if the service is away and the class may
+// run twice; both within Spread's budget. The first end that is told counts, and there is one.
+#ifndef HINGELINK_NET_POOL_GROUP_H_
+#define HINGELINK_NET_POOL_GROUP_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decide/spread.h"
+#include "net/pool_link.h"
+#include "net/pool_side.h"
+
+namespace hingelink::net {
+
+struct ServiceAt {
+  std::string name, zone;
+  double cores = 1;
+  std::string address;  // This node's own at that pool; empty: not to be reached from here, but counted.
+  bool operator==(const ServiceAt&) const = default;
+};
+
+struct PoolGroupOptions {
+  std::vector<ServiceAt> services;
+  decide::SpreadOptions spread;
+  std::string self, zone;  // This node.
+  // Safe runs leave a service that is away for so long.
+  std::chrono::milliseconds leave_after{400};
+  decide::Draw draw;
+};
+
+class PoolGroup : public PoolSide {
+ public:
+  PoolGroup(event_base* base, PoolGroupOptions options, PoolEvents events);
+  ~PoolGroup() override;
+
+  // Another list: links to what is no longer in it end once nothing is owed there. Not to be called from
+  // within a link's own callbacks.
+  void SetServices(std::vector<ServiceAt> services);
+  // The nodes that share the services, this one too.
+  void SetNodes(std::vector<decide::SubsetNode> nodes);
+
+  // ---- PoolSide ----
+  // The addresses are those of the services.
+  void Move(const sockaddr_in& pool) override { static_cast<void>(pool); }
+  Mark Spawn(std::uint64_t req, std::string_view kind, std::string_view body) override;
+  void Poll() override {}
+  bool Processed(Mark mark) const override;
+  bool settled() const override { return up_ > 0; }
+  // Means of the services in use, by their cores.
+  const std::vector<double>& gauges() const override { return gauges_; }
+
+  const decide::Spread& spread() const { return spread_; }
+  decide::FleetTime Now() const { return Steady::now() - began_; }
+  std::size_t links() const;
+  std::size_t in_hand() const { return sent_.size(); }
+
+ private:
+  using Id = decide::Spread::Id;
+  struct Service {
+    ServiceAt at;
+    bool told = true;  // In the list.
+    std::unique_ptr<PoolLink> link;
+    bool up = false;
+    decide::FleetTime down_since{0};
+    std::optional<decide::FleetTime> asked;
+    std::vector<double> gauges;
+    decide::FleetTime gauges_at{0};
+    std::size_t owed = 0;  // Runs.
+  };
+  struct Sent {
+    Id service = decide::Spread::kNone;
+    decide::SpreadRun run;
+    int tries = 1;
+    Id before = decide::Spread::kNone;  // Where it may have run first, and may still end.
+  };
+
+  void Tick();
+  void Connect(Id id);
+  void SetUp(Id id, bool up);
+  void Settled(Id id);
+  void Finished(Id id, const proto::RunFinished& run);
+  void Unknown(Id id, std::uint64_t req);
+  void Polled(Id id);
+  void Again(std::uint64_t req, Sent& sent, bool never_ran);
+  void MixGauges();
+  void Drop(std::unordered_map<std::uint64_t, Sent>::iterator it);
+  std::uint32_t KindOf(std::string_view kind);
+
+  event_base* base_;
+  PoolGroupOptions options_;
+  PoolEvents events_;
+  Steady::time_point began_ = Steady::now();
+  decide::Spread spread_;
+  std::map<Id, Service> services_;
+  std::unordered_map<std::uint64_t, Sent> sent_;
+  std::map<std::string, std::uint32_t, std::less<>> kinds_;
+  Id settling_ = decide::Spread::kNone;
+  bool bound_ = false;
+  std::size_t up_ = 0;
+  std::vector<double> gauges_;
+  Timer timer_;
+};
+
+}  // namespace hingelink::net
+
+#endif  // HINGELINK_NET_POOL_GROUP_H_
--- a/src/net/pool_link.h
+++ b/src/net/pool_link.h
@@ -9,38 +9,34 @@
 #include <vector>
 
 #include "net/event.h"
+#include "net/pool_side.h"
 #include "proto/pool_lines.h"
 
 namespace hingelink::net {
 
-class PoolLink {
+class PoolLink : public PoolSide {
  public:
   struct Events {
     std::function<void(bool cold)> bound;
     std::function<void(const proto::RunFinished&)> finished;
     std::function<void(std::uint64_t req)> spawn_unknown;
-    // All notices of the time without a link are in. Spawns for which Processed() says no may be sent again.
-    std::function<void()> settled;
+    std::function<void()> settled;  // As in PoolEvents.
+    // Where somebody wants to know: it carries no commands any more; gauges have come.
+    std::function<void()> lost{};
+    std::function<void()> polled{};
   };
-  // Where a spawn stands in the order of commands.
-  using Mark = std::uint64_t;
-  static constexpr Mark kNeverSent = UINT64_MAX;
 
   PoolLink(event_base* base, const sockaddr_in& pool, Events events);
 
-  // Leaves the address for another at once: what is still to come of the old link comes again on the new one.
-  void Move(const sockaddr_in& pool);
-  // Sends it, or returns kNeverSent where the link does not carry commands just now.
-  Mark Spawn(std::uint64_t req, std::string_view kind, std::string_view body);
-  // Asks for the gauges, unless an answer is still to come.
-  void Poll();
-  // In `settled`: whether the pool is known to have read the spawn before the link was lost.
-  bool Processed(Mark mark) const { return mark < answered_at_loss_; }
+  void Move(const sockaddr_in& pool) override;
+  Mark Spawn(std::uint64_t req, std::string_view kind, std::string_view body) override;
+  void Poll() override;
+  bool Processed(Mark mark) const override { return mark < answered_at_loss_; }
 
-  // Whether it carries commands.
-  bool settled() const { return settled_; }
-  // The newest gauges, or none where they are old.
-  const std::vector<double>& gauges() const;
+  bool settled() const override { return settled_; }
+  const std::vector<double>& gauges() const override;
+  // However old.
+  const std::vector<double>& last_gauges() const { return gauges_; }
 
  private:
   void Connect();
--- /dev/null
+++ b/src/net/pool_side.h
@@ -0,0 +1,57 @@
+// What a node asks of what runs its requests: one worker pool (pool_link.h), or several shared with other
+// nodes (pool_group.h).
+#ifndef HINGELINK_NET_POOL_SIDE_H_
+#define HINGELINK_NET_POOL_SIDE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+#include "net/event.h"
+#include "proto/pool_lines.h"
+
+namespace hingelink::net {
+
+struct PoolEvents {
+  std::function<void(bool cold)> bound;
+  std::function<void(const proto::RunFinished&)> finished;
+  std::function<void(std::uint64_t req)> spawn_unknown;
+  // All notices of the time without a link are in. Spawns for which Processed() says no may be sent again.
+  std::function<void()> settled;
+
+  // ---- Of several pools alone ----
+  // Nothing of this run was started where it was sent, or it may run twice: it is to be spawned again. False
+  // where nobody waits for it any more.
+  std::function<bool(std::uint64_t req)> again;
+  // Whether a run of this class may run twice.
+  std::function<bool(std::string_view kind)> safe;
+  // The place of a gauge among those told, by its name.
+  std::function<std::size_t(std::string_view name)> gauge_at;
+};
+
+class PoolSide {
+ public:
+  // Where a spawn stands in the order of commands.
+  using Mark = std::uint64_t;
+  static constexpr Mark kNeverSent = UINT64_MAX;
+  virtual ~PoolSide() = default;
+
+  // Leaves the address for another at once: what is still to come of the old link comes again on the new one.
+  virtual void Move(const sockaddr_in& pool) = 0;
+  // Sends it, or returns kNeverSent where nothing carries commands just now.
+  virtual Mark Spawn(std::uint64_t req, std::string_view kind, std::string_view body) = 0;
+  // Asks for the gauges, unless an answer is still to come.
+  virtual void Poll() = 0;
+  // In `settled`: whether the pool is known to have read the spawn before the link was lost.
+  virtual bool Processed(Mark mark) const = 0;
+  // Whether it carries commands.
+  virtual bool settled() const = 0;
+  // The newest gauges, or none where they are old.
+  virtual const std::vector<double>& gauges() const = 0;
+};
+
+}  // namespace hingelink::net
+
+#endif  // HINGELINK_NET_POOL_SIDE_H_
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,6 +13,7 @@
 #include "log/log.h"
 #include "net/gateway_front.h"
 #include "net/loop_group.h"
+#include "net/pool_link.h"
 
 namespace hingelink::node {
 namespace {
@@ -62,7 +63,7 @@
 }  // namespace
 
 Node::Node(Config config, std::function<Config()> reread, const std::string& handover_folder,
-           std::size_t threads)
+           std::size_t threads, const PoolMaker& make_pool)
     : config_(std::move(config)),
       reread_(std::move(reread)),
       threads_(std::clamp<std::size_t>(threads, 1, kMostThreads)),
@@ -77,21 +78,12 @@
       front_(MakeFront()),
       table_(config_.settings, *front_, metrics_,
              [this](std::uint64_t req, std::string_view kind, std::string_view body) {
-               return pool_.Spawn(req, kind, body);
+               return pool_->Spawn(req, kind, body);
              }),
-      pool_(
-          base_.get(), net::ParseAddress(config_.pool),
-          {.bound = [this](bool cold) { Bound(cold); },
-           .finished =
-               [this](const proto::RunFinished& run) {
-                 table_.Finished({run.req, ToOutcome(run.end), run.elapsed, run.result});
-               },
-           .spawn_unknown = [this](std::uint64_t req) { table_.SpawnUnknown(req); },
-           .settled =
-               [this] { table_.Resend([this](RequestTable::Mark mark) { return pool_.Processed(mark); }); }}),
+      pool_(MakePool(make_pool)),
       registry_(base_.get(), net::ParseAddress(config_.registry), config_.registry, config_.name),
       timer_(base_.get(), [this] { step_due_ = true; }),
-      gauge_timer_(base_.get(), [this] { pool_.Poll(); }),
+      gauge_timer_(base_.get(), [this] { pool_->Poll(); }),
       // Beside a predecessor, once there is a worker pool to run what comes.
       listening_(!handover_.has_others()),
       drain_timer_(base_.get(), [] {}) {
@@ -112,6 +104,36 @@
       this);
 }
 
+std::unique_ptr<net::PoolSide> Node::MakePool(const PoolMaker& make_pool) {
+  net::PoolEvents events;
+  events.bound = [this](bool cold) { Bound(cold); };
+  events.finished = [this](const proto::RunFinished& run) {
+    table_.Finished({run.req, ToOutcome(run.end), run.elapsed, run.result});
+  };
+  events.spawn_unknown = [this](std::uint64_t req) { table_.SpawnUnknown(req); };
+  events.settled = [this] {
+    table_.Resend([this](RequestTable::Mark mark) { return pool_->Processed(mark); });
+  };
+  if (make_pool) {
+    events.again = [this](std::uint64_t req) { return table_.SpawnAgain(req); };
+    events.safe = [this](std::string_view kind) {
+      const auto& classes = config_.settings.classes;
+      const auto at =
+          std::find_if(classes.begin(), classes.end(), [kind](const auto& c) { return c.name == kind; });
+      return at != classes.end() && at->repeat == hingelink::Repeat::kSafe;
+    };
+    events.gauge_at = [this](std::string_view name) {
+      const auto& names = config_.settings.gauges;
+      return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+    };
+    return make_pool(base_.get(), config_.name, std::move(events));
+  }
+  return std::make_unique<net::PoolLink>(
+      base_.get(), net::ParseAddress(config_.pool),
+      net::PoolLink::Events{std::move(events.bound), std::move(events.finished),
+                            std::move(events.spawn_unknown), std::move(events.settled)});
+}
+
 std::unique_ptr<net::GatewaySide> Node::MakeFront() {
   const sockaddr_in listen = net::ParseAddress(config_.listen);
   const auto sockets = static_cast<std::size_t>(config_.sockets);
@@ -280,7 +302,7 @@
 void Node::FireTimers(std::vector<hingelink::Event>& events) {
   const Steady::time_point now = Steady::now();
   while (!timers_.empty() && timers_.top().first <= now) {
-    events.emplace_back(hingelink::TimerFired{timers_.top().second, pool_.gauges()});
+    events.emplace_back(hingelink::TimerFired{timers_.top().second, pool_->gauges()});
     timers_.pop();
   }
 }
@@ -393,7 +415,7 @@
     front_->ClassesChanged();
     metrics_.CountReload(true);
     SeeOthers();
-    if (std::exchange(config_.pool, fresh.pool) != fresh.pool) pool_.Move(pool);
+    if (std::exchange(config_.pool, fresh.pool) != fresh.pool) pool_->Move(pool);
     if (std::exchange(config_.registry, fresh.registry) != fresh.registry) {
       registry_.Move(registry, fresh.registry);
     }
@@ -457,11 +479,11 @@
   seen.connections = front_->connections();
   seen.runs = metrics_.runs();
   if (policy_) seen.held_kb = policy_->InHand().kb;
-  seen.pool_bound = pool_.settled();
+  seen.pool_bound = pool_->settled();
   seen.pool_address = config_.pool;
   const auto& names = config_.settings.gauges;
   const auto busy = std::find(names.begin(), names.end(), "cpu_busy");
-  const std::vector<double>& gauges = pool_.gauges();
+  const std::vector<double>& gauges = pool_->gauges();
   if (const auto at = static_cast<std::size_t>(busy - names.begin()); at < gauges.size()) {
     seen.pool_busy = gauges[at];
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,7 +16,7 @@
 #include "net/gateway_side.h"
 #include "net/handover.h"
 #include "net/ops_server.h"
-#include "net/pool_link.h"
+#include "net/pool_side.h"
 #include "net/registry_client.h"
 #include "node/config.h"
 #include "node/joined.h"
@@ -32,8 +32,11 @@
   // `reread` gives the configuration anew, or throws what is wrong with it.
   // Processes of one node that share `handover_folder` take over from each other there; empty: none does.
   // With more than one thread, this one decides and the others carry the gateways' connections.
+  // Without `make_pool` it has the one worker pool of its configuration.
+  using PoolMaker = std::function<std::unique_ptr<net::PoolSide>(event_base* base, const std::string& name,
+                                                                 net::PoolEvents events)>;
   Node(Config config, std::function<Config()> reread, const std::string& handover_folder = {},
-       std::size_t threads = 1);
+       std::size_t threads = 1, const PoolMaker& make_pool = {});
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -128,12 +131,14 @@
     Steady::time_point told_at_{};
   };
 
+  std::unique_ptr<net::PoolSide> MakePool(const PoolMaker& make_pool);
+
   OtherProcesses other_processes_{*this};
   std::vector<Joined*> joined_{&other_processes_};
   net::Handover handover_;
   std::unique_ptr<net::GatewaySide> front_;
   RequestTable table_;
-  net::PoolLink pool_;
+  std::unique_ptr<net::PoolSide> pool_;
   net::RegistryClient registry_;
   std::optional<net::OpsServer> ops_;
   std::optional<hingelink::ServerPolicy> policy_;
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -142,6 +142,13 @@
   Finished({.req = req, .outcome = Outcome::kMoot, .elapsed = Millis(0), .result = {}});
 }
 
+bool RequestTable::SpawnAgain(std::uint64_t req) {
+  const auto it = ByReq(req);
+  if (it == entries_.end() || !it->second.running || !it->second.waiting) return false;
+  SendSpawn(it->second);
+  return true;
+}
+
 void RequestTable::Resend(const std::function<bool(Mark)>& processed) {
   std::vector<hingelink::RequestId> ids;
   for (const auto& [id, entry] : entries_) {
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -54,6 +54,9 @@
   void Finished(const RunResult& run);
   // The pool knows nothing of this spawn.
   void SpawnUnknown(std::uint64_t req);
+  // Nothing of this spawn was started where it was sent, or it may run twice: sends it anew. False where
+  // nobody waits for it any more.
+  bool SpawnAgain(std::uint64_t req);
   // Sends again the spawns that the pool may not have read.
   void Resend(const std::function<bool(Mark)>& processed);
 
--- a/src/schema/schema.h
+++ b/src/schema/schema.h
@@ -41,6 +41,7 @@
 std::string_view PeersSchema();
 std::string_view ScenarioSchema();
 std::string_view SeriesSchema();
+std::string_view ServicesSchema();
 
 }  // namespace hingelink::schema
 
--- a/tests/lab/rig_test.cpp
+++ b/tests/lab/rig_test.cpp
@@ -187,6 +187,62 @@
   EXPECT_GT(result.forged, 20'000u);
 }
 
+// Eight nodes that share eight services, four of them each.
+Scenario SharedServices(double seconds) {
+  Scenario scenario = FleetOf(8, seconds);
+  scenario.fleet.zones = {"a", "b"};
+  scenario.fleet.services = 8;
+  scenario.fleet.subset = 4;
+  scenario.load = {{Millis(0), 0.5}};
+  return scenario;
+}
+
+Assertion Served(double least) {
+  Assertion assertion = Must(Check::kServed);
+  assertion.least = least;
+  return assertion;
+}
+
+TEST(Rig, ASlowServiceAndOneThatFailsAtOnceAreLeftAlone) {
+  Scenario scenario = SharedServices(13);
+  scenario.faults = {FaultOf(3'000, Do::kDegrade, "service:2", "all", 8'000),
+                     FaultOf(3'000, Do::kErrors, "service:5", "all", 8'000)};
+  scenario.faults[0].share = 8;
+  scenario.assertions = {Served(0.9), Must(Check::kWhole)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  ASSERT_EQ(result.started.size(), 8u);
+  std::uint64_t others = 0;
+  for (std::size_t s = 0; s < 8; ++s) others += s == 2 || s == 5 ? 0 : result.started[s];
+  // For eight of thirteen seconds they have little: over all at most two thirds of another one's.
+  EXPECT_LT(result.started[2] * 6, others * 2 / 3);
+  EXPECT_LT(result.started[5] * 6, others * 2 / 3);
+  EXPECT_GT(result.errors[5], 0u);
+}
+
+TEST(Rig, ServicesThatAreLostAndBackCostLittleAndRunNothingTwice) {
+  Scenario scenario = SharedServices(12);
+  scenario.faults = {FaultOf(3'000, Do::kCut, "nodes", "services:0-1", 4'000),
+                     FaultOf(5'000, Do::kReset, "nodes", "services:4-6")};
+  scenario.assertions = {Served(0.85), Must(Check::kWhole)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_GT(result.relay.resets, 0u);
+  EXPECT_EQ(result.account.wrong + result.account.twice, 0u);
+}
+
+TEST(Rig, NodesThatAreReplacedWhileTheyShareServicesLoseNoAnswer) {
+  Scenario scenario = SharedServices(13);
+  scenario.faults = {FaultOf(2'000, Do::kKill, "nodes:3-7")};
+  scenario.faults[0].stagger = Millis(1'000);
+  scenario.faults[0].restart = Millis(300);
+  scenario.assertions = {Served(0.8), Must(Check::kAgree, 5'000), Must(Check::kEven)};
+  scenario.assertions.back().most = 2;
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_EQ(result.account.wrong + result.account.twice, 0u);
+}
+
 // The rig itself: what does not hold is told, and what the relays do to connections is seen by the stand-ins.
 TEST(Rig, WhatDoesNotHoldIsTold) {
   Scenario scenario = LoadedFleetOf(4, 9);
