--- a/src/decide/spread.cpp
+++ b/src/decide/spread.cpp
@@ -19,6 +19,9 @@
 constexpr double kNewOfKind = 0.02;
 // A figure this much older than `old` says nothing.
 constexpr double kMostAge = 8;
+// And one of so many times `old` tells no service from another.
+constexpr double kTooOld = 2.5;
+constexpr double kSlower = 1.7;
 // Judged well for so many times its last time aside, a service begins anew with the shortest.
 constexpr double kForgiven = 4;
 constexpr std::size_t kMostQuestions = 32;
@@ -163,6 +166,7 @@
 void Spread::Use(FleetTime now, Id id, bool extra) {
   Service& s = services_[id];
   in_use_.push_back(id);
+  ++figures_;
   if (std::exchange(s.in_use, true)) return;
   s.extra = extra;
   s.tried = s.heard = now;
@@ -180,6 +184,7 @@
   s.slow_weight = 0;
   s.slowness = 1;
   s.figure = -1;
+  ++figures_;
   s.questions.clear();
   // As long as those that share it take to come one after the other, at the rate at which it can answer.
   const double each = run_ms_ > 0 ? run_ms_ / s.record.capacity : 0;
@@ -223,6 +228,7 @@
 }
 
 double Spread::MeanFigure(FleetTime now) const {
+  if (mean_of_ == figures_ && mean_at_ == now) return mean_;
   double runs = 0, capacity = 0;
   for (const Id id : in_use_) {
     const Service& s = services_[id];
@@ -230,7 +236,10 @@
     runs += s.figure;
     capacity += s.record.capacity;
   }
-  return capacity > 0 ? runs / capacity : 0;
+  mean_of_ = figures_;
+  mean_at_ = now;
+  mean_ = capacity > 0 ? runs / capacity : 0;
+  return mean_;
 }
 
 // Runs that it has now. An old figure says little of now: as it ages, the mean of all takes its place, so
@@ -259,6 +268,17 @@
   }
 }
 
+bool Spread::TooOld(const Service& s, FleetTime now) const {
+  return s.figure < 0 || now - s.figure_at > options_.old * kTooOld;
+}
+
+// Where all that was asked is too old to tell two services apart: this node's own runs, and a speed that
+// differs by more than runs do by chance.
+double Spread::CostByOwn(const Service& s) const {
+  const double slow = s.slowness > kSlower || s.slowness < 1 / kSlower ? s.slowness : 1;
+  return (static_cast<double>(s.own) + 0.5) / s.record.capacity * slow;
+}
+
 Spread::Id Spread::PickOfTwo(FleetTime now, const std::vector<Id>& open, Decision& decision) {
   double all = 0;
   for (const Id id : open) all += services_[id].record.capacity * Share(services_[id], now);
@@ -275,9 +295,11 @@
   };
   const Id one = draw(all, kNone);
   const Id two = draw(all - services_[one].record.capacity * Share(services_[one], now), one);
-  decision.cost = Cost(services_[one], now);
+  const bool by_own = options_.way >= Way::kTwoAsked && TooOld(services_[one], now) &&
+                      (two == kNone || TooOld(services_[two], now));
+  decision.cost = by_own ? CostByOwn(services_[one]) : Cost(services_[one], now);
   if (two == kNone) return one;
-  decision.other_cost = Cost(services_[two], now);
+  decision.other_cost = by_own ? CostByOwn(services_[two]) : Cost(services_[two], now);
   decision.other = two;
   if (decision.other_cost >= decision.cost) return one;
   std::swap(decision.cost, decision.other_cost);
@@ -568,6 +590,9 @@
 // A node whose whole subset is busy, or which alone fills its share of it, uses more; later fewer again.
 void Spread::MindWidth(FleetTime now) {
   if (now - widened_at_ < options_.widen_each || in_use_.empty()) return;
+  // Not at each choice: it looks at all in use.
+  if (now - width_seen_ < options_.widen_each / 4) return;
+  width_seen_ = now;
   double least = 1e9, fair = 0;
   std::size_t extras = 0;
   for (const Id id : in_use_) {
@@ -599,6 +624,7 @@
       s.extra = s.in_use = false;
       further_.insert(further_.begin(), in_use_[i]);
       in_use_.erase(in_use_.begin() + static_cast<std::ptrdiff_t>(i));
+      ++figures_;
       ++counts_.narrowed;
       // One at a time, and slower than it grew.
       wide_since_ = now - options_.narrow_after * 0.9;
@@ -645,6 +671,7 @@
   Service& s = services_.at(id);
   // Answers may overtake each other on the way through a new link.
   if (s.figure >= 0 && asked_at < s.figure_at) return;
+  ++figures_;
   s.figure = running;
   s.figure_at = asked_at;
   s.net_then = s.net;
--- a/src/decide/spread.h
+++ b/src/decide/spread.h
@@ -70,17 +70,17 @@
 };
 
 struct SpreadOptions {
-  Way way = Way::kWeighted;
+  Way way = Way::kProbes;  // By docs/measurements/spread.md.
   std::size_t subset = 8;
   std::size_t most_in_use = 64;  // With those by which it is widened.
   // Asked figures. One of `old` counts half, the rest of it is the mean of all.
-  FleetTime old{400};
+  FleetTime old{120};
   FleetTime ask_each{250};  // Each service in use, while there is work; the answer's own way comes on top.
   FleetTime ask_idle{2'000};
   // Probes (kProbes).
   double probes_a_start = 2;
   std::size_t probe_uses = 3;
-  FleetTime probe_old{1'000};
+  FleetTime probe_old{250};
   double hot_share = 0.75;  // Of the probes, by work; those above are hot.
   // Against herds.
   double back_answers = 12;    // So many answers until a service that is back has its whole share.
@@ -238,6 +238,8 @@
   double Share(const Service& s, FleetTime now) const;
   double Believed(const Service& s, FleetTime now) const;
   double Cost(const Service& s, FleetTime now) const;
+  double CostByOwn(const Service& s) const;
+  bool TooOld(const Service& s, FleetTime now) const;
   Id Pick(FleetTime now, const std::vector<Id>& open, Decision& decision);
   Id PickOfTwo(FleetTime now, const std::vector<Id>& open, Decision& decision);
   Id PickByProbes(FleetTime now, const std::vector<Id>& open, Decision& decision);
@@ -262,8 +264,13 @@
   std::size_t next_in_turn_ = 0;
   double repeats_ = 0, tries_ = 0, probes_ = 0;
   double run_ms_ = 0;  // Mean of all runs.
+  // Of MeanFigure(), which each belief asks for: good for one moment and one state of the figures.
+  std::uint64_t figures_ = 0;
+  mutable std::uint64_t mean_of_ = UINT64_MAX;
+  mutable FleetTime mean_at_{-1};
+  mutable double mean_ = 0;
   std::uint64_t own_ = 0;
-  FleetTime last_start_{-1e9}, widened_at_{-1e9}, wide_since_{0}, next_due_{0};
+  FleetTime last_start_{-1e9}, widened_at_{-1e9}, width_seen_{-1e9}, wide_since_{0}, next_due_{0};
   std::deque<Decision> recent_;
   Counts counts_;
 };
