--- a/tests/decide/spread_test.cpp
+++ b/tests/decide/spread_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <set>
 
@@ -346,7 +347,7 @@
 }
 
 TEST(Spread, OneThatIsBackGetsMoreAsItAnswers) {
-  Table table(8);
+  Table table(2);
   Spread& spread = table.spread();
   table.Warm(300);
   const Spread::Id back = spread.in_use()[1];
@@ -452,5 +453,135 @@
   }
 }
 
+TEST(Spread, OneThatIsBackIsDrawnSeldomAtFirst) {
+  std::size_t chosen = 0;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    SpreadOptions options;
+    options.reaction = 0;
+    Table table(8, options, seed * 31);
+    Spread& spread = table.spread();
+    table.Warm(100);
+    const Spread::Id back = spread.in_use()[3];
+    spread.SetUp(table.now, back, false);
+    spread.SetUp(table.now, back, true);
+    chosen += spread.Choose(table.now, {})->service == back ? 1 : 0;
+  }
+  // One of eight would have 12, and the idle one of two drawn 25.
+  EXPECT_LT(chosen, 6u);
+}
+
+TEST(Spread, TheTimeAsideDoublesAndIsForgivenWhenItWasWellForLong) {
+  Table table(8);
+  Spread& spread = table.spread();
+  table.Warm(200);
+  const Spread::Id bad = spread.in_use()[4];
+  FleetTime longest{0};
+  const auto runs = [&](int count, bool fails) {
+    for (int i = 0; i < count; ++i) {
+      const auto start = spread.Choose(table.now, {});
+      const bool error = fails && start->service == bad;
+      table.now += FleetTime(10);
+      spread.Ended(table.now, start->service, {}, error ? RunEndsAs::kError : RunEndsAs::kWell,
+                   FleetTime(10));
+      spread.Tick(table.now);
+      longest = std::max(longest, spread.LookAt(table.now, bad).aside_for);
+    }
+  };
+  runs(1'500, true);
+  EXPECT_GT(longest.count(), 3 * 1.25 * 1'000);
+  runs(6'000, false);
+  longest = FleetTime(0);
+  for (int i = 0; i < 400 && longest.count() == 0; ++i) runs(1, true);
+  EXPECT_GT(longest.count(), 500);
+  EXPECT_LT(longest.count(), 1'251);
+}
+
+TEST(Spread, NodesThatJudgedAlikeDoNotReturnAlike) {
+  std::set<double> times;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Table table(8, {}, seed);
+    Spread& spread = table.spread();
+    table.Warm(200);
+    const Spread::Id bad = spread.in_use()[0];
+    for (int i = 0; i < 2'000 && spread.LookAt(table.now, bad).standing != Standing::kAside; ++i) {
+      const auto start = spread.Choose(table.now, {});
+      // It refuses all: it never fails, and it does no work either.
+      spread.Ended(table.now, start->service, {},
+                   start->service == bad ? RunEndsAs::kNeverRan : RunEndsAs::kWell, FleetTime(10));
+      table.now += FleetTime(10);
+    }
+    ASSERT_EQ(spread.LookAt(table.now, bad).standing, Standing::kAside);
+    times.insert(std::round(spread.LookAt(table.now, bad).aside_for.count() / 20));
+  }
+  EXPECT_GT(times.size(), 4u);
+}
+
+TEST(Spread, ANodeWithMuchTrafficUsesMoreThoughNothingIsBusy) {
+  SpreadOptions options;
+  options.subset = 2;
+  Table table(8, options);
+  Spread& spread = table.spread();
+  spread.SetNodes(table.now, Nodes(40));
+  table.Warm(50);
+  const std::size_t before = spread.in_use().size();
+  for (int i = 0; i < 12; ++i) {
+    for (const Spread::Id id : spread.in_use()) spread.Told(table.now, id, 0, table.now);
+    spread.Choose(table.now, {});
+    table.now += FleetTime(200);
+  }
+  EXPECT_GT(spread.in_use().size(), before + 1);
+}
+
+TEST(Spread, FiguresCountFromWhenTheyWereAskedFor) {
+  SpreadOptions options;
+  options.way = Way::kTwoAsked;
+  Table table(2, options);
+  Spread& spread = table.spread();
+  table.Warm(50);
+  table.now += FleetTime(5'000);
+  spread.ToAsk(table.now);
+  const FleetTime asked = table.now;
+  const Spread::Id one = spread.in_use()[0], other = spread.in_use()[1];
+  std::uint64_t own = 0;
+  for (int i = 0; i < 6; ++i) own += spread.Choose(table.now, {})->service == one ? 1 : 0;
+  ASSERT_GT(own, 0u);
+  spread.Told(table.now, one, 10, asked);
+  spread.Told(table.now, other, 10, asked);
+  // What was started since it was asked comes on top.
+  EXPECT_NEAR(spread.LookAt(table.now, one).believed, 10 + static_cast<double>(own), 0.1);
+  // An older answer that comes later changes nothing.
+  spread.Told(table.now, one, 0, asked - FleetTime(50));
+  EXPECT_NEAR(spread.LookAt(table.now, one).believed, 10 + static_cast<double>(own), 0.1);
+  // The mean that an old figure gives way to is of the newest figures, at the same moment, too.
+  table.now += FleetTime(600);
+  spread.Told(table.now, other, 20, table.now);
+  const double high = spread.LookAt(table.now, one).believed;
+  table.now += FleetTime(0.001);
+  spread.Told(table.now, other, 20, table.now);
+  static_cast<void>(spread.LookAt(table.now, one));
+  spread.Told(table.now, other, 0, table.now);
+  EXPECT_LT(spread.LookAt(table.now, one).believed, high - 5);
+}
+
+TEST(Spread, ARepeatGoesElsewhereAndAServiceThatComesBackKeepsItsRuns) {
+  Table table(3);
+  Spread& spread = table.spread();
+  table.Warm(100);
+  const Spread::Id first = spread.in_use()[0];
+  for (int i = 0; i < 60; ++i) {
+    const auto start = spread.Choose(table.now, {}, first);
+    EXPECT_NE(start->service, first);
+    spread.Ended(table.now, start->service, {}, RunEndsAs::kWell, FleetTime(10));
+  }
+  const auto start = spread.Choose(table.now, {});
+  const std::string name = spread.LookAt(table.now, start->service).name;
+  auto fewer = Services(3);
+  std::erase_if(fewer, [&](const SubsetService& s) { return s.name == name; });
+  spread.SetServices(table.now, fewer);
+  spread.SetServices(table.now, Services(3));
+  EXPECT_EQ(spread.Find(name), start->service);
+  EXPECT_EQ(spread.LookAt(table.now, start->service).own, 1u);
+}
+
 }  // namespace
 }  // namespace hingelink::decide
