Rig: a restart finds what was learned on its disk, or has lost it

The scenario's 'disk' had no effect with real processes. Rig.ARestartFindsItsDiskOrHasLostIt: of two killed alike, the one that keeps its disk starts with what it learned.

--- a/src/lab/rig/rig.cpp
+++ b/src/lab/rig/rig.cpp
@@ -340,9 +340,16 @@
                                       node.config,      "--control", node.control};
     if (options_.peers) words.insert(words.end(), {"--peers", node.folder + "/peers.json"});
     if (shared()) words.insert(words.end(), {"--services", node.folder + "/services.json"});
+    // What a node learns is kept only where the scenario says what becomes of it.
+    if (KeepsDisks()) words.insert(words.end(), {"--learned", node.folder + "/learned"});
     node.process->Start(words, node.folder);
   }
 
+  bool KeepsDisks() const {
+    return std::any_of(scenario_.faults.begin(), scenario_.faults.end(),
+                       [](const Fault& fault) { return fault.do_ == Do::kKill && !fault.disk_lost; });
+  }
+
   void Stop(Node& node) {
     node.process->Kill();
     for (const auto& before : node.predecessors) before->Kill();
@@ -460,7 +467,10 @@
   void PlanOne(const Fault& fault, std::size_t i, Millis at, Millis end) {
     switch (fault.do_) {
       case Do::kKill:
-        Add(at, [this, i] { End(i); });
+        Add(at, [this, i, &fault] {
+          End(i);
+          if (fault.disk_lost) std::filesystem::remove_all(nodes_[i].folder + "/learned");
+        });
         if (fault.restart) Add(at + *fault.restart, [this, i] { Start(i); });
         break;
       case Do::kFreeze:
@@ -732,6 +742,12 @@
     }
     if (live > 0) result_.rss_mb = rss / static_cast<double>(live);
     for (const Kill& kill : kills_) result_.kills.push_back(kill.times);
+    for (const Node& node : nodes_) {
+      std::ifstream log(node.folder + "/log");
+      for (std::string line; std::getline(log, line);) {
+        if (line.find("learned-taken") != std::string::npos) result_.recalled.push_back(node.name);
+      }
+    }
     result_.cut_off.assign(cut_off_.begin(), cut_off_.end());
     std::vector<bool> was_cut_off;
     for (const Node& node : nodes_) was_cut_off.push_back(cut_off_.contains(node.name));
@@ -855,6 +871,7 @@
         {"worst_1s", Round(worst_1s)}}},
       {"rss_mb", Round(rss_mb)},
       {"cut_off", cut_off},
+      {"recalled", recalled},
       {"crashed", crashed}};
   json["kills"] = KillsJson(kills);
   json["agreed_after_ms"] = MillisJson(agreed_after);
--- a/src/lab/rig/rig.h
+++ b/src/lab/rig/rig.h
@@ -70,6 +70,7 @@
   std::vector<std::uint64_t> started, errors, most_running;
   double most_1s = 0, worst_1s = 0;
   double rss_mb = 0;                 // Mean of the nodes at the end.
+  std::vector<std::string> recalled;  // By the log: starts that found what an earlier life had learned.
   std::vector<std::string> crashed;  // Processes that ended by themselves.
 
   nlohmann::ordered_json Json() const;
--- a/tests/lab/rig_test.cpp
+++ b/tests/lab/rig_test.cpp
@@ -149,6 +149,18 @@
   EXPECT_EQ(result.kills.size(), 2u);
 }
 
+TEST(Rig, ARestartFindsItsDiskOrHasLostIt) {
+  // What is learned is written each 5 s.
+  Scenario scenario = LoadedFleetOf(3, 13);
+  scenario.faults = {FaultOf(8'000, Do::kKill, "node:0"), FaultOf(8'000, Do::kKill, "node:1")};
+  scenario.faults[0].restart = scenario.faults[1].restart = Millis(200);
+  scenario.faults[0].disk_lost = false;
+  scenario.assertions = {Must(Check::kAgree, 4'000)};
+  const RigResult result = Play(scenario);
+  EXPECT_EQ(Lines(result.violations), "");
+  EXPECT_EQ(result.recalled, (std::vector<std::string>{"n0"}));
+}
+
 TEST(Rig, AKeyIsReplacedInServiceAndOneThatWasForgottenIsHeardNoMore) {
   Scenario scenario = LoadedFleetOf(5, 19);
   const auto keys = [](double at, const char* who, std::vector<std::string> names) {
