Let a refused request above its tenant's share move the signal by what it is worth

Seen in a trace by tenant: none of their requests was refused or failed at a node; all 394 refusals were rail-north's, which sends three times its share. Ruled out: the hold, the shares' buckets, calls.

A call broken off also counts as lingering below, as one past its limit does.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -61,8 +61,7 @@
 constexpr double kGuess = 0.15;
 // Share of the told call share that this server fills: the dependency slows long before it falls, so the
 // share moves between these by what each call took against the quickest mean seen, down twice as fast as up.
-constexpr double kCallFillLeast = 0.31, kCallFillMost = 0.7;
-constexpr double kCallFill = 0.5;  // Until calls have been seen.
+constexpr double kCallFillLeast = 0.31, kCallFillMost = 0.7, kCallFill = 0.5;  // The last at first.
 constexpr double kCallSlow = 1.6, kCallStep = 0.01, kCallLearn = 0.1;
 // Share of the told share up to which a call that drags on is let go on, where the share is under one call.
 constexpr double kCallHard = 0.6;
@@ -88,11 +87,10 @@
 // share refused that is borne, and how far it rises a second for each share above; the busy share under which
 // it falls, and how far a second for each share below.
 constexpr double kSignalPart = 0.25, kRefusedBorne = 0.02;
-constexpr double kSignalUp = 0.4, kSignalBusy = 0.9, kSignalDown = 0.5;
+constexpr double kSignalUp = 0.4, kSignalBusy = 0.9, kSignalDown = 0.5, kSignalTop = 0.9;
 // Share of the wait in the hold that a refusal advises to stay away. Guards against the whole of a few
 // callers falling silent at once: with the full wait, the hold ran dry and cores idled before they were back.
 constexpr double kAdvice = 0.5;
-constexpr double kSignalTop = 0.9;
 // Share of the callers' own idle time after which the server closes a connection: this much for each core a
 // caller, as a core serves about as many requests a second anywhere. Guards against a table full of
 // connections that wait for a second use.
@@ -419,7 +417,7 @@
     if (r == nullptr || r->state != State::kCalling) return;
     --calls_out_;
     SeeCall(e);
-    if (e.outcome == Outcome::kTimeout) {
+    if (e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset) {
       lingering_.push_back(now_ + s_.call_linger_ms);  // It loads the dependency a while longer.
     }
     if (e.outcome == Outcome::kOk) {
@@ -603,8 +601,10 @@
         if (!queues_[q].empty() && Worth(q) < Worth(worst)) worst = q;
       }
       const RequestId victim = worst == QueueOf(*r) ? id : queues_[worst].rbegin()->second;
-      if (!live_[victim].gone) refused_share_ += kRetryMix;  // One whose caller left is not turned away.
-      RefuseHeld(victim, live_[victim]);
+      // One whose caller left is not turned away; one above its share weighs what it is worth.
+      Request& v = live_[victim];
+      if (!v.gone) refused_share_ += kRetryMix * (v.over_share ? s_.over_share_worth : 1);
+      RefuseHeld(victim, v);
     }
   }
 
--- a/src/standin/pool.cpp
+++ b/src/standin/pool.cpp
@@ -10,6 +10,8 @@
 #include <utility>
 
 #include "proto/pool_lines.h"
+#include "proto/words.h"
+#include "standin/store.h"
 
 namespace hingelink::standin {
 namespace {
@@ -21,6 +23,9 @@
 constexpr Millis kSwallowed{50};
 constexpr std::size_t kMostBody = 1 << 20;
 constexpr std::size_t kMostCommand = 4096;
+constexpr Millis kCheckWork{5};                            // Of a deep check.
+constexpr std::uint64_t kChecks = std::uint64_t{1} << 63;  // Ids of deep checks among the cores' runs.
+constexpr auto kStandingLook = 50ms;
 
 std::optional<Millis> WorkOf(std::string_view body) {
   constexpr std::string_view kHead = "work ";
@@ -32,6 +37,15 @@
   return Millis(ms);
 }
 
+Extras ExtrasOf(std::string_view body) {
+  proto::Words words(body);
+  Extras extras;
+  if (words.Next() != "work" || !words.Number<double>() || words.Next() != "calls") return extras;
+  extras.calls = words.Number<int>().value_or(0);
+  extras.once = words.Next() == "once";
+  return extras;
+}
+
 template <typename T>
 bool Whole(std::string_view text, T& value, int base = 10) {
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value, base);
@@ -52,12 +66,21 @@
 
 }  // namespace
 
-std::string WorkBody(Millis work, std::string_view filler) {
-  char text[40];
-  const int size = std::snprintf(text, sizeof text, "work %.3f ", work.count());
+std::string WorkBody(Millis work, std::string_view filler, const Extras& extras) {
+  char text[64];
+  int size = std::snprintf(text, sizeof text, "work %.3f ", work.count());
+  if (extras.calls > 0 || extras.once) {
+    size = std::snprintf(text, sizeof text, "work %.3f calls %d %s ", work.count(), extras.calls,
+                         extras.once ? "once" : "again");
+  }
   return std::string(text, static_cast<std::size_t>(size)).append(filler);
 }
 
+std::string CallBody(std::uint64_t req, int nth, bool once) {
+  return (once ? std::string(kOnceOnly) : std::string()) + "call " + std::to_string(nth) + " of " +
+         proto::ReqText(req);
+}
+
 std::string ResultOf(std::uint64_t req, std::string_view body) {
   return "result " + proto::ReqText(req) + ' ' + proto::ReqText(XXH3_64bits(body.data(), body.size()));
 }
@@ -120,6 +143,21 @@
         ++commands_;
         if (bound_) Spawn(req, words[2], all.substr(size, length));
         size += length + 2;
+      } else if (line.starts_with("supply ")) {
+        const std::vector<std::string_view> words = Words(line);
+        std::size_t length = 0;
+        std::uint64_t req = 0;
+        if (words.size() != 3 || !Whole(words[1], req, 16) || !Whole(words[2], length) ||
+            length > kMostBody) {
+          return Bad();
+        }
+        if (all.size() < size + length + 2) return;
+        if (all.substr(size + length, 2) != "\r\n") return Bad();
+        ++commands_;
+        if (bound_ && !pool_.Supply(req, all.substr(size, length), commands_)) {
+          Tell("unknown supply " + proto::ReqText(req) + "\r\n");
+        }
+        size += length + 2;
       } else if (!Take(line)) {
         return Bad();
       }
@@ -158,8 +196,24 @@
   }
   bool Take(std::string_view line) {
     const std::vector<std::string_view> words = Words(line);
+    if (words.size() == 3 && words[0] == "pass") {
+      std::uint64_t req = 0, notice = 0;
+      if (!Whole(words[1], req, 16) || !Whole(words[2], notice)) return false;
+      ++commands_;
+      if (bound_ && !pool_.Pass(req, notice, commands_)) {
+        Tell("unknown pass " + proto::ReqText(req) + "\r\n");
+      }
+      return true;
+    }
     if (words.size() != 2) return false;
     ++commands_;
+    if (words[0] == "verify") {
+      const std::uint64_t check = kChecks | ++pool_.last_check_;
+      pool_.checks_[check] = {&place_, std::string(words[1])};
+      pool_.cores_.Start(check, kCheckWork, pool_.Now());
+      pool_.Arm();
+      return true;
+    }
     if (words[0] == "bind") {
       if (asked_ || !Whole(words[1], from_)) return false;
       asked_ = true;
@@ -191,7 +245,9 @@
       options_(options),
       cores_(options.cores),
       next_end_(base, [this] { EndRuns(); }),
+      standing_(base, [this] { SeeStanding(); }),
       up_(base, [this] { Up(); }) {
+  standing_.After(kStandingLook);
   for (const std::string& listen : options_.listen) {
     auto place = std::make_unique<Place>();
     const sockaddr_in address = net::ParseAddress(listen);
@@ -244,29 +300,107 @@
   }
   if (over_.count(req) != 0) {
     ++counts_.repeated;
-    Tell(place, proto::ReqText(req) + " unknown 0.0 0\r\n\r\n");
+    Tell(place, "finished", proto::ReqText(req) + " unknown 0.0 0\r\n\r\n");
     return;
   }
   const Millis now = Now(), work = WorkOf(body).value_or(options_.default_work);
-  runs_[req] = Run{&place, std::move(body), work, now, command};
+  const Extras asks = ExtrasOf(body);
+  if (asks.once && ++once_[XXH3_64bits(body.data(), body.size())] > 1) ++counts_.run_twice;
+  Run& run = runs_[req];
+  run = Run{};
+  run.place = &place;
+  run.body = std::move(body);
+  run.work = work;
+  run.since = now;
+  run.command = command;
+  run.asks = asks;
   ++counts_.started;
-  cores_.Start(req, work, now);
+  cores_.Start(req, work / (asks.calls + 1), now);
   counts_.most_running = std::max<std::uint64_t>(counts_.most_running, cores_.running());
   Arm();
 }
 
-// `notice` is all behind its number.
-void Pool::Tell(Place& place, std::string notice) {
+// `notice` is all behind its number, which is returned.
+std::uint64_t Pool::Tell(Place& place, std::string_view what, std::string notice) {
   const std::uint64_t number = ++place.last_notice;
-  place.notices.emplace_back(number, "finished " + std::to_string(number) + ' ' + std::move(notice));
+  place.notices.emplace_back(number,
+                             std::string(what) + ' ' + std::to_string(number) + ' ' + std::move(notice));
   if (place.notices.size() > kNoticesKept) place.notices.pop_front();
   if (place.link) place.link->Notice(place.notices.back().second);
+  return number;
+}
+
+void Pool::Block(std::uint64_t req, Run& run) {
+  ++counts_.blocked;
+  const std::string call = CallBody(req, ++run.calls_made, run.asks.once);
+  run.stood_since = Now();
+  run.stands_at = Tell(*run.place, "blocked",
+                       proto::ReqText(req) + ' ' + std::to_string(call.size()) + "\r\n" + call + "\r\n");
+}
+
+bool Pool::GoOn(std::uint64_t req, std::uint64_t command) {
+  const auto it = runs_.find(req);
+  if (it == runs_.end() || it->second.stands_at == 0) return false;
+  Run& run = it->second;
+  run.moved_on = Now();
+  run.moved_by = command;
+  run.moved_from = std::exchange(run.stands_at, 0);
+  cores_.Start(req, run.work / (run.asks.calls + 1), run.moved_on);
+  Arm();
+  return true;
+}
+
+bool Pool::Supply(std::uint64_t req, std::string_view reply, std::uint64_t command) {
+  if (!GoOn(req, command)) return false;
+  ++counts_.supplied;
+  const Run& run = runs_.at(req);
+  if (reply != ReplyOf(CallBody(req, run.calls_made, run.asks.once))) ++counts_.wrong_replies;
+  return true;
+}
+
+bool Pool::Pass(std::uint64_t req, std::uint64_t notice, std::uint64_t command) {
+  const auto it = runs_.find(req);
+  if (it != runs_.end() && it->second.stands_at != notice) ++counts_.bad_passes;
+  if (it == runs_.end() || it->second.stands_at != notice || !GoOn(req, command)) return false;
+  ++counts_.passed;
+  return true;
+}
+
+// Guards against runs that stand at a call for good: nobody here sees that their requests are over.
+void Pool::SeeStanding() {
+  standing_.After(kStandingLook);
+  if (hangs_) return;
+  std::vector<std::uint64_t> over;
+  for (const auto& [req, run] : runs_) {
+    if (run.stands_at != 0 && Now() - run.stood_since > options_.call_patience) over.push_back(req);
+  }
+  std::sort(over.begin(), over.end());
+  for (const std::uint64_t req : over) {
+    ++counts_.cancelled;
+    Place& place = *runs_.at(req).place;
+    runs_.erase(req);
+    over_.emplace(req, true);
+    over_order_.push_back(req);
+    Tell(place, "finished", proto::ReqText(req) + " cancelled 0.0 0\r\n\r\n");
+  }
 }
 
 void Pool::EndRuns() {
   if (hangs_) return;
   const Millis now = Now();
   for (const std::uint64_t req : cores_.TakeEnded(now)) {
+    if ((req & kChecks) != 0 && checks_.count(req) != 0) {
+      const auto check = checks_.extract(req);
+      ++counts_.verified;
+      Place& place = *check.mapped().first;
+      if (place.link)
+        place.link->Notice("verified " + check.mapped().second + (errors_ ? " error\r\n" : " complete\r\n"));
+      continue;
+    }
+    if (Run& run = runs_.at(req); run.calls_made < run.asks.calls) {
+      Block(req, run);
+      continue;
+    }
     const auto run = runs_.extract(req);
     const Run& over = run.mapped();
     const std::string result = errors_ ? "" : ResultOf(req, over.body);
@@ -281,7 +415,7 @@
       over_.erase(over_order_.front());
       over_order_.pop_front();
     }
-    Tell(*over.place, proto::ReqText(req) + text + result + "\r\n");
+    Tell(*over.place, "finished", proto::ReqText(req) + text + result + "\r\n");
   }
   Arm();
 }
@@ -302,8 +436,19 @@
     for (auto it = runs_.begin(); it != runs_.end();) {
       const Run& run = it->second;
       // What a poll behind it was answered for has been read.
-      const bool lost =
-          run.place == place.get() && run.since > now - kSwallowed && run.command > place->link->answered();
+      // So is a supply or a pass.
+      if (Run& moved = it->second; moved.place == place.get() && moved.stands_at == 0 &&
+                                   moved.moved_from != 0 && moved.moved_on > now - kSwallowed &&
+                                   moved.moved_by > place->link->answered()) {
+        if (cores_.Cancel(it->first, now)) {
+          moved.stands_at = std::exchange(moved.moved_from, 0);
+          ++counts_.swallowed;
+        }
+      }
+      const bool lost = run.place == place.get() && run.moved_from == 0 && run.stands_at == 0 &&
+                        run.calls_made == 0 && run.since > now - kSwallowed &&
+                        run.command > place->link->answered();
+      if (lost && run.asks.once) --once_[XXH3_64bits(run.body.data(), run.body.size())];
       if (lost) cores_.Cancel(it->first, now);
       counts_.swallowed += lost ? 1 : 0;
       counts_.started -= lost ? 1 : 0;
--- a/src/standin/pool.h
+++ b/src/standin/pool.h
@@ -21,8 +21,15 @@
 
 namespace hingelink::standin {
 
+// What a body may ask for beside work.
+struct Extras {
+  int calls = 0;      // Made one after the other, between even parts of the work.
+  bool once = false;  // A run of this body is to happen once at a pool, and so are its calls.
+};
 // The body of a request that asks for so much work, on one standard core. `filler` makes it differ.
-std::string WorkBody(Millis work, std::string_view filler);
+std::string WorkBody(Millis work, std::string_view filler, const Extras& extras = {});
+// The body of the call that a run makes as its `nth`, from 1 on.
+std::string CallBody(std::uint64_t req, int nth, bool once);
 // What a run of this request gives: changes with the id and with each byte of the body.
 std::string ResultOf(std::uint64_t req, std::string_view body);
 
@@ -48,6 +55,8 @@
   Millis up_after{0};                  // Links are accepted before, but not bound.
   std::vector<std::string> classes{};  // Others are `unknown`. Empty: any class is good.
   std::vector<PoolFault> faults{};
+  // A run that stands at a call for longer ends there (`cancelled`): its request is taken for over.
+  Millis call_patience{15'000};
 };
 
 // Counted by the stand-in itself.
@@ -61,7 +70,11 @@
   std::uint64_t errors = 0;
   std::uint64_t bad_commands = 0;
   std::uint64_t most_running = 0;
-  Millis work_done{0};  // Of the complete runs.
+  std::uint64_t blocked = 0, supplied = 0, passed = 0, cancelled = 0, verified = 0;
+  std::uint64_t wrong_replies = 0;  // Supplied with what the store did not say to this call.
+  std::uint64_t bad_passes = 0;     // For a notice that is not the one the run stands at.
+  std::uint64_t run_twice = 0;      // Bodies that are to run once, begun again.
+  Millis work_done{0};              // Of the complete runs.
 };
 
 class Pool {
@@ -85,12 +98,25 @@
     Millis work{0};
     Millis since{0};
     std::uint64_t command = 0;  // In the order of its link's commands.
+    Extras asks;
+    int calls_made = 0;
+    std::uint64_t stands_at = 0;  // The notice of the call that it waits for; 0: it works.
+    Millis stood_since{0};
+    Millis moved_on{0};  // The last supply or pass, and its place among the commands.
+    std::uint64_t moved_by = 0;
+    std::uint64_t moved_from = 0;  // The notice it stood at.
   };
 
   void Accept(Place& place, evutil_socket_t fd);
   bool Command(Link& link, std::string_view line);
   void Spawn(Place& place, std::uint64_t req, std::string body, std::uint64_t command);
-  void Tell(Place& place, std::string notice);
+  std::uint64_t Tell(Place& place, std::string_view what, std::string notice);
+  void Block(std::uint64_t req, Run& run);
+  // False where no run waits for it.
+  bool GoOn(std::uint64_t req, std::uint64_t command);
+  bool Supply(std::uint64_t req, std::string_view reply, std::uint64_t command);
+  bool Pass(std::uint64_t req, std::uint64_t notice, std::uint64_t command);
+  void SeeStanding();
   void EndRuns();
   void Arm();
   void BreakLinks();
@@ -105,7 +131,11 @@
   std::unordered_map<std::uint64_t, Run> runs_;
   std::deque<std::uint64_t> over_order_;  // Ids whose runs are over, oldest first.
   std::unordered_map<std::uint64_t, bool> over_;
+  std::unordered_map<std::uint64_t, int> once_;  // By a hash of the body: begun so often.
+  std::unordered_map<std::uint64_t, std::pair<Place*, std::string>> checks_;  // Deep checks, with their tags.
+  std::uint64_t last_check_ = 0;
   net::Timer next_end_;
+  net::Timer standing_;
   net::Timer up_;
   std::vector<std::unique_ptr<net::Timer>> script_;
   bool hangs_ = false;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -83,6 +83,7 @@
       if (const auto* a = std::get_if<KeepKey>(&action)) kept[a->id] = now + a->ttl_ms;
       if (const auto* a = std::get_if<DropKey>(&action)) kept.erase(a->id);
       if (const auto* a = std::get_if<SetHealth>(&action)) healthy = a->good;
+      if (const auto* a = std::get_if<Announce>(&action)) announced = a->value;
     }
     return last_;
   }
@@ -117,6 +118,7 @@
     PassTo(now + 1100);
   }
 
+  double announced = 0;
   double now = 5000;
   double busy = 0.5;
   double runnable = 2;
@@ -517,6 +519,32 @@
 }
 
 // A tenant beyond its share is so at every server: tries elsewhere took half the cores of a full-size fleet.
+// The signal tells gateways to keep away by rank, whoever the tenant is: it must not rise by what one of them
+// sends above its share, or the others bear it.
+TEST(Tenants, WhatIsRefusedAboveAShareHardlyMovesTheSignal) {
+  const auto signal_of = [](double quota) {
+    Settings s = Site();
+    s.signal = SignalKind::kThreshold;
+    s.signal_heard_ms = 1000;
+    s.tenants = {{"a", 0.5, quota}, {"b", 0.5, quota}};
+    s.over_share_worth = 0.05;
+    Host host(s);
+    for (RequestId id = 1; id <= 600; ++id) {
+      host.busy = 1;
+      host.runnable = 4;
+      host.PassTo(host.now + 10);
+      Arrival a = host.Come(id);
+      a.tenant = 0;
+      host.Play({a});
+    }
+    EXPECT_GT(host.refusals.size(), 100u);
+    return host.announced;
+  };
+  const double inside = signal_of(1e6), above = signal_of(0.001);
+  EXPECT_GT(inside, 0.3);
+  EXPECT_LT(above, 0.1);
+}
+
 TEST(Tenants, RefusalOverTheShareSaysThatNoServerHelps) {
   Settings s = TwoTenants();
   Host h(s);
