--- a/src/standin/gateways.h
+++ b/src/standin/gateways.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -28,6 +29,15 @@
   Millis timeout{2000};
   double need_kb = 10;
   bool repeats = true;  // A failed try may be sent again; a refused one always may.
+  // Tries carry a key. One that may have run is followed by the next at the same node, and any try's result
+  // is good.
+  bool keyed = false;
+  int calls = 0;  // That a run makes to the store.
+};
+
+struct TenantLoad {
+  std::string name;
+  double share = 1;  // Of the arrivals, beside the other tenants'.
 };
 
 struct GatewaysOptions {
@@ -35,11 +45,14 @@
   int gateways = 3;
   int most_connections = 64;  // Of each gateway.
   std::vector<ClassLoad> classes;
-  double rate = 50;   // First tries a second, of all gateways together.
-  Millis length{0};   // Arrivals end after this; 0: they go on until Stop().
-  int retries = 0;    // Further tries of one request.
-  double heeds = 1;   // Share of gateways that heed holdoff, nomore and signal.
-  double leaves = 0;  // Share of requests whose caller gives up early (type 2).
+  std::vector<TenantLoad> tenants;  // None: no tenant is told.
+  bool tells_wait = true;           // Whether requests say how long their caller waits.
+  double rate = 50;                 // First tries a second, of all gateways together.
+  Millis length{0};                 // Arrivals end after this; 0: they go on until Stop().
+  int retries = 0;                  // Further tries of one request.
+  double heeds = 1;                 // Share of gateways that heed holdoff, nomore and signal.
+  double leaves = 0;  // Share of requests whose caller gives up early (type 2); a keyed one tries again.
+  Millis leaves_within{0};  // ... within this time of the send; 0: of its whole time.
   // What gateways that heed make of the free value.
   enum class Signal {
     kIgnored,
@@ -66,6 +79,7 @@
   std::uint64_t late = 0;                             // Answers past the time and 100 ms.
   std::uint64_t wrong = 0;                            // 'Served' with what no run made of this request.
   std::uint64_t twice = 0;                            // Second answers.
+  std::uint64_t again = 0;                            // Served tries of what had been served.
   std::uint64_t cut = 0;                              // Tries whose connection this side reset.
   std::uint64_t not_sent = 0;            // No node could be reached, or advice kept the gateway away.
   std::uint64_t good = 0;                // Requests served in time by one of their tries.
@@ -111,6 +125,10 @@
     int tries_left = 0;
     double rank = 0;
     std::set<std::size_t> refused_by;  // Targets that are not asked again.
+    std::vector<std::uint64_t> reqs;   // Of its tries; the last few.
+    std::optional<std::size_t> stays;  // Where a keyed one may have run.
+    std::string key, owner;
+    bool served = false;
   };
   struct Try {
     Gateway* gateway = nullptr;
@@ -126,6 +144,7 @@
   };
 
   void Arrive();
+  std::string Owner();
   void Send(Gateway& gateway, std::shared_ptr<Request> request, bool resent = false);
   Connection* Choose(Gateway& gateway, std::size_t target);
   void Answered(Connection& connection, std::uint32_t stream, int code, std::string_view fields_and_body);
@@ -137,7 +156,7 @@
 
   event_base* base_;
   GatewaysOptions options_;
-  std::mt19937_64 draw_;
+  std::mt19937_64 draw_, owner_draw_;
   net::Steady::time_point began_ = net::Steady::now();
   net::Steady::time_point next_{};
   net::Timer arrival_;
