--- a/src/cli/standin.cpp
+++ b/src/cli/standin.cpp
@@ -12,6 +12,7 @@
 #include "standin/gateways.h"
 #include "standin/pool.h"
 #include "standin/registry.h"
+#include "standin/store.h"
 
 namespace hingelink::cli {
 namespace {
@@ -44,6 +45,8 @@
   double cold_ms = 0, up_after_ms = 0;
   std::string faults;
   standin::RegistryOptions registry;
+  standin::StoreOptions store;
+  double store_work_ms = 10;
   standin::GatewaysOptions gateways;
   double seconds = 0;
 };
@@ -80,6 +83,24 @@
               static_cast<unsigned long long>(registry.bad_calls()));
 }
 
+void Store(StandinOptions& options) {
+  options.store.work = standin::Millis(options.store_work_ms);
+  const net::BasePtr base = net::MakeBase();
+  standin::Store store(base.get(), options.store);
+  std::printf("store %s\n", store.address().c_str());
+  std::fflush(stdout);
+  RunUntilEnd(base.get(), [] { return false; });
+  const standin::StoreCounts& c = store.counts();
+  std::printf(
+      "calls %llu, begun %llu, ok %llu, busy %llu, errors %llu, late %llu, dropped %llu, again %llu, deaths "
+      "%llu, at once %llu\n",
+      static_cast<unsigned long long>(c.calls), static_cast<unsigned long long>(c.begun),
+      static_cast<unsigned long long>(c.ok), static_cast<unsigned long long>(c.busy),
+      static_cast<unsigned long long>(c.errors), static_cast<unsigned long long>(c.late),
+      static_cast<unsigned long long>(c.dropped), static_cast<unsigned long long>(c.twice),
+      static_cast<unsigned long long>(c.deaths), static_cast<unsigned long long>(c.most_in_hand));
+}
+
 void Gateways(StandinOptions& options) {
   options.gateways.length = standin::Millis(options.seconds * 1000);
   options.gateways.classes = SampleLoad();
@@ -129,6 +150,29 @@
       ->check(CLI::Range(0.0, 1.0))
       ->capture_default_str();
   registry->callback([options] { Registry(*options); });
+  CLI::App* store =
+      standin->add_subcommand("store", "A store that nodes share; prints its address, and counts at the end");
+  store->add_option("--listen", options->store.listen, "Its address")->capture_default_str();
+  store->add_option("--slots", options->store.slots.count, "Calls that it works on at full speed")
+      ->check(CLI::Range(1, 100'000))
+      ->capture_default_str();
+  store->add_option("--work-ms", options->store_work_ms, "Of a call, alone")
+      ->check(CLI::Range(0.0, 1e6))
+      ->capture_default_str();
+  store
+      ->add_option("--busy-above", options->store.busy_above,
+                   "Calls in hand above which more are turned away")
+      ->check(CLI::Range(0.0, 1e9))
+      ->capture_default_str();
+  store
+      ->add_option("--falls-above", options->store.falls_above,
+                   "Mean calls in hand, over 5 s, of which it dies")
+      ->check(CLI::Range(0.0, 1e9))
+      ->capture_default_str();
+  store->add_option("--errors", options->store.errors, "Share of calls that end with an error, having run")
+      ->check(CLI::Range(0.0, 1.0))
+      ->capture_default_str();
+  store->callback([options] { Store(*options); });
   CLI::App* gateways = standin->add_subcommand("gateways", "Gateways; print an account at the end");
   gateways->add_option("--target", options->gateways.targets, "Nodes, tried in turn")->required();
   gateways->add_option("--gateways", options->gateways.gateways, "How many")->capture_default_str();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,7 @@
 #include "net/gateway_front.h"
 #include "net/loop_group.h"
 #include "net/pool_link.h"
+#include "node/below_figures.h"
 
 namespace hingelink::node {
 namespace {
@@ -317,6 +318,10 @@
 
 std::string Node::Figures() const {
   std::string text = metrics_.Text(table_.unanswered(), SeeLoops());
+  const auto& classes = config_.settings.classes;
+  const bool keyed = std::any_of(classes.begin(), classes.end(),
+                                 [](const auto& c) { return c.repeat == hingelink::Repeat::kKeyed; });
+  if (keyed || store_) text += BelowFigures(table_.keys(), table_.calls(), store_ ? &*store_ : nullptr);
   for (const Joined* joined : joined_) text += joined->Figures();
   return text;
 }
--- a/tests/node_stories.cpp
+++ b/tests/node_stories.cpp
@@ -68,6 +68,7 @@
       {{"kind", "no-such"}}, {{"req", "xyz"}},  {{"ts", "-1"}},       {{"timeout", "1e3"}},
       {{"need", "0"}},       {{"need", "nan"}}, {{"need", "2000"}},   {{"level", "1"}},
       {{"ms", "inf"}},       {{"ms", "-4"}},    {{"subject", "0x1"}}, {{"via", "99999999999"}},
+      {{"resent", "2"}},     {{"opkey", kOne}}, {{"owner", ""}},      {{"timeout", "(none)"}},
   };
   std::uint32_t stream = 0;
   for (const auto& fault : faults) {
@@ -209,6 +210,83 @@
   assert(link.Command().find("a4") != std::string::npos);
 }
 
+// At a site with tenants, a keyed class, a store and waits that are not told.
+std::string store_address;
+std::string KeyedSite(std::string json) {
+  const auto replace = [&json](const std::string& what, const std::string& with) {
+    assert(json.find(what) != std::string::npos);
+    json.replace(json.find(what), what.size(), with);
+  };
+  replace(R"("requestClasses":[)",
+          R"("requestClasses":[{"name":"claim","goalTimeMs":2000.0,"hardLimitMs":4900.0,
+      "repeat":"keyed","windowMs":20000.0,"worth":1.0},)");
+  replace(R"("tenants":[])", R"("tenants":[{"name":"north","portion":0.5,"quotaRps":90.0},
+      {"name":"west","portion":0.5,"quotaRps":90.0}])");
+  replace(R"("passesDeadline":true)", R"("passesDeadline":false)");
+  replace(R"("dependsOn":"silent")",
+          R"("dependsOn":"shared","callShare":8.0,"callsOverMs":5000.0,"lingersMs":200.0,
+      "classCalls":[true,true,false],"worthWithout":[0.0,0.5,0.0])");
+  replace(R"("pool":)", R"("store":")" + store_address + R"(","pool":)");
+  return json;
+}
+
+void Keyed() {
+  const peers::Listener store;
+  store_address = store.Address();
+  peers::edit_config = KeyedSite;
+  Scene scene;
+  auto& [node, link, gateway] = scene;
+  const std::string key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+  const auto claim = [&](std::map<std::string, std::string> with = {}) {
+    std::map<std::string, std::string> fields = {
+        {"kind", "claim"}, {"timeout", "(none)"}, {"owner", "west"}, {"opkey", key}};
+    for (const auto& [name, value] : with) fields[name] = value;
+    return fields;
+  };
+  // What the site says that every request has, and this one lacks or has wrong.
+  std::uint32_t stream = 100;
+  for (const auto& [name, value] : std::vector<std::pair<std::string, std::string>>{
+           {"opkey", "(none)"}, {"owner", "(none)"}, {"opkey", "x" + key.substr(1)}, {"owner", "nobody"}}) {
+    gateway.Write(Gateway::Request(++stream, kFour, "x", claim({{name, value}})));
+    assert(gateway.ReadAnswer(stream, 1).fields.at("nomore") == "1");
+  }
+  gateway.Write(Gateway::Request(1, kOne, "body", claim()));
+  assert(link.Command() == "spawn " + kOne + " claim 4");
+  link.Write("blocked 1 " + kOne + " 4\r\nc\r\nd\r\n");
+  peers::Socket calls = store.Accept();
+  const std::string call = calls.Line();
+  assert(call.starts_with("CALL " + kOne + ' ') && call.ends_with(" 4") && calls.Bytes(6) == "c\r\nd\r\n");
+  // A further try while the first stands at its call: it waits, and does not run.
+  gateway.Write(Gateway::Request(2, kTwo, "body", claim({{"resent", "1"}})));
+  calls.Write(kOne + " OK 5\r\nr\r\n+1\r\n");
+  std::string reply;
+  assert(link.Command(&reply) == "supply " + kOne + " 5" && reply == "r\r\n+1");
+  link.Finish(2, kOne, "complete", "claimed");
+  assert(gateway.ReadAnswer(1, 0).body == "claimed");
+  assert(gateway.ReadAnswer(2, 0).body == "claimed");
+  // And one that comes when all is over, over another connection; but none with another body.
+  Gateway other(node.port());
+  other.Write(Gateway::Request(1, kThree, "body", claim({{"resent", "1"}})));
+  assert(other.ReadAnswer(1, 0).body == "claimed");
+  other.Write(Gateway::Request(2, "00000000000000b5", "other", claim()));
+  other.ReadAnswer(2, 2);
+  // A read that cannot make its call goes on without it.
+  gateway.Write(
+      Gateway::Request(3, kFour, "x", {{"kind", "usage-view"}, {"timeout", "(none)"}, {"owner", "north"}}));
+  link.Command();
+  link.Write("blocked 3 " + kFour + " 1\r\nc\r\n");
+  assert(calls.Line().starts_with("CALL " + kFour));
+  calls.Bytes(3);
+  calls.Write(kFour + " LATE\r\n");
+  assert(link.PassedOn() == "pass " + kFour + " 3");
+  link.Finish(4, kFour, "complete", "poorer");
+  assert(gateway.ReadAnswer(3, 0).body == "poorer");
+  const std::string figures = node.Get("/ops/stats");
+  assert(figures.find("edge_node_key_replays 2") != std::string::npos);
+  assert(figures.find("edge_node_store_calls{outcome=\"ok\"} 1") != std::string::npos);
+  assert(figures.find("edge_node_key_mismatches 1") != std::string::npos);
+}
+
 // A run that is overdue is failed by its due time, and its later finish is dropped.
 void OverdueRun() {
   Scene scene;
@@ -748,6 +826,7 @@
       {"framing-faults", FramingFaults},
       {"lost-link", LostLink},
       {"shared-reads", SharedReads},
+      {"keyed", Keyed},
       {"overdue-run", OverdueRun},
       {"drains", Drains},
       {"at-limit", AtLimit},
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -142,6 +142,8 @@
 // A gateway's connection.
 class Gateway {
  public:
+  // The value of a field that is left out.
+  static constexpr std::string_view kNone = "(none)";
   explicit Gateway(std::uint16_t port) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
@@ -164,7 +166,13 @@
     std::map<std::string, std::string> fields = {
         {"kind", "order-lodge"}, {"req", req},     {"via", "1"},     {"timeout", "4000"},
         {"ms", "300.0"},         {"need", "20.0"}, {"level", "0.5"}, {"ts", std::to_string(UnixMs())}};
-    for (const auto& [name, value] : with) fields[name] = value;
+    for (const auto& [name, value] : with) {
+      if (value == kNone) {
+        fields.erase(name);
+      } else {
+        fields[name] = value;
+      }
+    }
     std::string payload = Number(fields.size(), 1);
     for (const auto& [name, value] : fields) {
       payload += Number(name.size(), 1) + name + Number(value.size(), 2) + value;
@@ -229,6 +237,14 @@
     }
   }
   std::string Line() { return socket_.Line(); }
+  // The next command but polls, of those without a body.
+  std::string PassedOn() {
+    for (;;) {
+      const std::string line = socket_.Line();
+      if (!line.starts_with("poll ")) return line;
+      AnswerPoll(line);
+    }
+  }
   void AnswerPoll(const std::string& line) const { Write("polled " + line.substr(5) + " 0.1 0 0.1 1\r\n"); }
   void Finish(int number, const std::string& req, const std::string& end, const std::string& result) const {
     Write("finished " + std::to_string(number) + ' ' + req + ' ' + end + " 300.5 " +
@@ -251,6 +267,8 @@
 
 // How many threads the first node of a story has, and each that follows it.
 inline std::size_t node_threads = 1, successor_threads = 1;
+// What a story changes of the configuration of its nodes.
+inline std::string (*edit_config)(std::string json) = [](std::string json) { return json; };
 // So many descriptors as leave the gateways of `processes` nodes what `sockets` leave them with one thread
 // each.
 inline int Sockets(int sockets, int processes) {
@@ -301,10 +319,11 @@
       "specifics":{"cpus":1,"memoryKb":16998.0,"runFactor":4.0,"signal":"window","heardForMs":100.0,
       "idleMs":30000.0,"passesDeadline":true,"tellsGone":true,"clientsTotal":3,"dependsOn":"silent",
       "freshMs":60000.0,"keyKb":1.0,"gauges":["cpu_busy","runnable","mem_used","sockets"]}})";
-    return R"({"name":"n3","listen":"127.0.0.1:0","ops":"127.0.0.1:0","pool":")" + pool.Address() +
-           R"(","registry":")" + registry.Address() + R"(","seed":"8c1f30d27a5be964","stop_ms":)" +
-           std::to_string(stop_ms) + R"(,"limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
-           std::to_string(sockets) + R"(},"settings":)" + settings + "}";
+    return edit_config(R"({"name":"n3","listen":"127.0.0.1:0","ops":"127.0.0.1:0","pool":")" +
+                       pool.Address() + R"(","registry":")" + registry.Address() +
+                       R"(","seed":"8c1f30d27a5be964","stop_ms":)" + std::to_string(stop_ms) +
+                       R"(,"limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(sockets) +
+                       R"(},"settings":)" + settings + "}");
   }
 
   Listener pool, registry;
