--- a/tests/net/store_client_test.cpp
+++ b/tests/net/store_client_test.cpp
@@ -27,7 +27,8 @@
         std::holds_alternative<proto::StoreNeedMore>(proto::ParseStoreReply(reply.substr(0, cut), size)))
         << cut;
   }
-  const auto whole = proto::ParseStoreReply(reply + "next", size);
+  const std::string more = reply + "next";
+  const auto whole = proto::ParseStoreReply(more, size);
   ASSERT_TRUE(std::holds_alternative<proto::StoreReply>(whole));
   EXPECT_EQ(std::get<proto::StoreReply>(whole).req, 0x9b1f03aa5c7e2d41u);
   EXPECT_EQ(std::get<proto::StoreReply>(whole).body, "a\r\nb");
--- a/tests/node/key_table_test.cpp
+++ b/tests/node/key_table_test.cpp
@@ -216,7 +216,8 @@
         // Whoever asks, also one that does not hold the key.
         if (table.Start(t.key, id)) {
           const auto before = ran.find(t.key);
-          RC_ASSERT(before == ran.end() || table.now - before->second > kWindow);
+          const bool first = before == ran.end() || table.now - before->second > kWindow;
+          RC_ASSERT(first);
           ran[t.key] = table.now;
           t.running = true;
         }
