--- a/src/decide/store/reconnect.h
+++ b/src/decide/store/reconnect.h
@@ -30,6 +30,7 @@
     return kLeast + (most - kLeast) * draw_();
   }
   void Good() { failures_ = 0; }
+  bool good() const { return failures_ == 0; }
 
  private:
   std::function<double()> draw_;
--- a/src/decide/store/silence.h
+++ b/src/decide/store/silence.h
@@ -1,16 +1,19 @@
 // When a connection to the store counts as silent: calls are out on it and nothing comes, for much longer
 // than replies take. New calls then go over another connection; those on the silent one are waited for. It is
-// dead, and its calls with it, once it has stayed silent while a newer one answers, or for kDead times as
-// long: calls in hand are few, and where all of them are stuck there, no newer one could ever answer. No
-// clock: times are given.
+// dead, and its calls with it, once it has also been overtaken by many calls on others, or has stayed silent
+// for kDead times as long: calls in hand are few, and where all of them are stuck on dead ones, no other
+// could ever overtake. No clock: times are given.
 //
-// A store that merely stands still looks the same as a connection that has died: each connection tried in
-// vain doubles the patience with the next, so that it costs such a store a handful of connections.
+// Time alone would not do: a store that grows ten times slower from one moment to the next looks dead by the
+// mean that was, and a call that is broken off may not be made again where it has an effect. But then nobody
+// overtakes. A store that stands still looks like connections that have died: each one left in vain doubles
+// the patience with the next, so that it costs such a store a handful of connections.
 #ifndef HINGELINK_DECIDE_STORE_SILENCE_H_
 #define HINGELINK_DECIDE_STORE_SILENCE_H_
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 
 namespace hingelink::decide {
 
@@ -18,25 +21,26 @@
  public:
   using Span = std::chrono::duration<double, std::milli>;
   // Bounds of the patience. The least is above the pauses of a machine that others use too.
-  static constexpr Span kLeast{150}, kMost{3000};
-  static constexpr double kTimes = 8;    // Of the mean reply: by chance one in three thousand takes as long.
+  static constexpr Span kLeast{150}, kMost{3000}, kDeadMost{5000};
+  static constexpr double kTimes = 8;  // Of the mean reply: by chance one in three thousand takes as long.
+  // Calls that overtake one by chance: those in hand beside it, and few more.
+  static constexpr std::uint64_t kOvertaken = 20;
   static constexpr double kLearn = 0.1;  // Weight of a new reply: the last ten.
 
   enum class Verdict { kWait, kLeave, kEnd };
-  static constexpr double kDead = 4;
-
-  // `silent`: since the last byte, or the first call. `left`: new calls go elsewhere. `may_leave`: another
-  // connection may be opened. `newer_answers`: one has, since this one was last heard.
-  Verdict See(Span silent, bool left, bool may_leave, bool newer_answers) {
-    const Span patience = left ? left_after_ : Patience();
-    if (silent < patience) return Verdict::kWait;
-    if (!left) {
-      if (!may_leave) return Verdict::kWait;
-      left_after_ = patience;
-      ++in_vain_;
-      return Verdict::kLeave;
+  static constexpr double kDead = 10;
+
+  // `silent`: since the last byte, or the first call. `left_after`: the patience behind which new calls went
+  // elsewhere, or 0 where they don't. `may_leave`: another connection may be opened. `overtaken`: replies
+  // that came on others since this one was last heard, but for those that turned a call away.
+  Verdict See(Span silent, Span left_after, bool may_leave, std::uint64_t overtaken) {
+    if (left_after > Span(0)) {
+      const bool dead = overtaken >= kOvertaken || silent >= std::min(kDeadMost, kDead * left_after);
+      return dead && silent >= left_after ? Verdict::kEnd : Verdict::kWait;
     }
-    return newer_answers || silent >= kDead * patience ? Verdict::kEnd : Verdict::kWait;
+    if (silent < Patience() || !may_leave) return Verdict::kWait;
+    ++in_vain_;
+    return Verdict::kLeave;
   }
 
   void Replied(Span took) {
@@ -49,7 +53,6 @@
 
  private:
   Span mean_{0};
-  Span left_after_{kLeast};  // The patience with the connection that was left last.
   int seen_ = 0;
   int in_vain_ = 0;
 };
--- a/src/net/store/store_client.h
+++ b/src/net/store/store_client.h
@@ -1,4 +1,4 @@
-// Calls to the store that all nodes share. Many calls on one connection; each has a limit of its own, kept
+// Calls to the store that all nodes share, over a few connections. Each call has a limit of its own, kept
 // here, as the store keeps none.
 //
 // What each end of a call tells (Outcome): kOk with the reply; kFull (BUSY) and kConnectFailed (VOID,
@@ -6,21 +6,17 @@
 // off) prove nothing. Every call ends once, or is dropped by Drop(), or replaced by a second call for its
 // request.
 //
-// States of a connection: connecting -> up -> retiring (takes no new calls, as the address moved or nothing
-// is heard) -> ended. Calls made while none is up wait for the next try, whose time StoreReconnect gives; one
-// that is refused ends all that wait. An idle connection is closed before the store does it, so that no call
-// crosses the close.
+// Which connection a call goes over is decide::ChooseStorePlace's; when a silent one is left, and when its
+// calls are broken off, decide::StoreSilence's; when to try again at a store that fails, StoreReconnect's:
+// until then calls wait, and a try that is refused ends all that wait.
 //
-// A connection on which calls are out and nothing comes is left by new calls (StoreSilence); once a newer one
-// has answered while it stayed silent, it is ended, and its calls are broken off.
-//
-// Bounds: calls are as many as the module lets out. Unsent bytes above kUnsentMost: a new call ends at once
-// as never written. Connections: the current one and kRetiringMost retiring ones.
+// Bounds: calls are as many as the module lets out. Unsent bytes of a connection above kUnsentMost: a new
+// call ends at once as never written. Connections: decide::kStoreConnections, and kRetiringMost retiring
+// ones.
 #ifndef HINGELINK_NET_STORE_STORE_CLIENT_H_
 #define HINGELINK_NET_STORE_STORE_CLIENT_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -31,11 +27,12 @@
 #include <utility>
 #include <vector>
 
+#include "decide/store/place.h"
 #include "decide/store/reconnect.h"
 #include "decide/store/silence.h"
 #include "hingelink/server_policy.h"
 #include "net/event.h"
-#include "proto/store_lines.h"
+#include "net/store/store_connection.h"
 
 namespace hingelink::net {
 
@@ -47,8 +44,9 @@
                                    std::string_view reply)>;
   struct Counts {
     std::uint64_t calls = 0, ok = 0, busy = 0, errors = 0, late = 0, refused = 0, broken = 0, dropped = 0;
-    std::uint64_t connects = 0;
+    std::uint64_t connects = 0, silent = 0;  // The latter: connections that were left as silent.
   };
+  static constexpr std::size_t kRetiringMost = decide::kStoreConnections;
 
   StoreClient(event_base* base, const sockaddr_in& store, std::uint64_t seed, Ended ended);
   ~StoreClient();
@@ -67,33 +65,39 @@
 
   std::size_t in_hand() const { return calls_.size(); }
   bool up() const;
+  // Connections that take new calls.
+  std::size_t open() const { return open_.size(); }
   const Counts& counts() const { return counts_; }
 
  private:
-  class Connection;
+  using ConnectionPtr = std::unique_ptr<StoreConnection>;
   struct Out {
-    Connection* on = nullptr;  // Null: waits for a connection, with its body.
+    StoreConnection* on = nullptr;  // Null: waits for a connection, with its body.
     std::string body;
     Steady::time_point since{};
     Steady::time_point until{};
-    Millis limit{0};
   };
   using Calls = std::unordered_map<std::uint64_t, Out>;
 
-  void Connect();
-  void Write(std::uint64_t req, Out& call);
+  // Writes a call over a connection, or leaves it waiting for one.
+  void Place(std::uint64_t req, Out& call);
+  void PlaceWaiting();
+  StoreConnection* ConnectionFor(std::uint64_t req);
   void End(Calls::iterator it, hingelink::Outcome outcome, std::string_view reply = {});
   void Forget(Calls::iterator it);
   void EndDue();
   void Arm();
-  void Later(std::uint64_t req);
-  void NoteGivenUp(std::uint64_t req, const Connection* on);
-  bool SawGivenUp(std::uint64_t req, Steady::time_point now);
-  void Refused(Connection& connection);
-  void Lost(Connection& connection);
-  void Retire();
-  void SeeSilent(Connection& connection);
-  void Took(Connection& connection, const proto::StoreReply& reply);
+  // Ends a call in the loop's next round, never from within Call(), as never written.
+  void EndLater(std::uint64_t req);
+  void Failed();
+  // Takes a connection out, stopped. Gives whether it took new calls, and the calls that were on it.
+  std::pair<bool, std::vector<std::uint64_t>> TakeOut(StoreConnection& connection);
+  void Refused(StoreConnection& connection);
+  void Lost(StoreConnection& connection);
+  // It takes no new calls; `patience`: where it was silent for so long.
+  void Retire(StoreConnection& connection, Millis patience);
+  void Look(StoreConnection& connection);
+  void Took(StoreConnection& connection, const proto::StoreReply& reply);
 
   event_base* base_;
   sockaddr_in address_;
@@ -101,13 +105,12 @@
   std::mt19937_64 draw_;
   decide::StoreReconnect backoff_;
   decide::StoreSilence silence_;
-  Steady::time_point answered_at_{};
+  std::uint64_t replies_ = 0;  // But for those that turned a call away, which come at once.
   Calls calls_;
   std::set<std::pair<Steady::time_point, std::uint64_t>> due_;
-  std::unique_ptr<Connection> current_;
-  std::vector<std::unique_ptr<Connection>> retiring_, over_;
+  StoreConnection::Events events_;
+  std::vector<ConnectionPtr> open_, retiring_, over_;
   std::vector<std::uint64_t> never_written_;  // To be ended in the loop's next round.
-  std::deque<std::pair<Steady::time_point, std::uint64_t>> given_up_;  // Lately, on the current connection.
   Timer reconnect_;
   Timer limit_;
   bool waiting_ = false;  // For the next try to connect.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -83,8 +83,13 @@
   // Descriptors kept from the gateways: the pool link, the registry, the log, epoll, and what is closing.
   static constexpr std::size_t kReserved = 32;
 
-  // Descriptors that are not the gateways': a loop has its epoll, its timer and its wake.
-  std::size_t reserved() const { return kReserved + 3 * loops(); }
+  // Descriptors that are not the gateways': a loop has its epoll, its timer and its wake; the store its
+  // connections.
+  std::size_t reserved() const {
+    const std::size_t store =
+        config_.store.empty() ? 0 : decide::kStoreConnections + net::StoreClient::kRetiringMost;
+    return kReserved + 3 * loops() + store;
+  }
   std::size_t loops() const { return threads_ - 1; }  // Those that carry connections, beside this one.
   std::unique_ptr<net::GatewaySide> MakeFront();
   void Take(const IncomingRequest& request);
--- a/src/policy/call_share.h
+++ b/src/policy/call_share.h
@@ -11,10 +11,10 @@
 
 namespace hingelink::policy {
 
-// Share of the told call share that this server fills: the dependency slows long before it falls, so the
-// share moves between these by what each call took against the quickest mean seen, down twice as fast as up.
+// Share of the told call share that this server fills: the dependency slows long before it falls, so it moves
+// by what calls took against the quickest mean, which by chance is half the true one; down twice as fast.
 constexpr double kCallFillLeast = 0.31, kCallFillMost = 0.7, kCallFill = 0.5;  // The last at first.
-constexpr double kCallSlow = 1.6, kCallStep = 0.01, kCallLearn = 0.1;
+constexpr double kCallSlow = 2.5, kCallStep = 0.01, kCallLearn = 0.1;
 // Share of the told share up to which a call that drags on is let go on, where the share is under one call.
 constexpr double kCallHard = 0.6;
 constexpr double kCallDrift = 1.001;  // The quickest mean is let go of slowly, a call at a time.
@@ -52,7 +52,7 @@
   void Made() { ++out_; }
   void Settle() { in_hand_before_ = out_ + lingering_.size(); }
   void Over() { --out_; }
-  // Given up, or broken off: it loads the dependency a while longer.
+  // Given up, or broken off: it loads the dependency a while longer. Or turned away: it is crowded.
   void Linger(double now) { lingering_.push_back(now + s_.call_linger_ms); }
 
   // Guards against a dependency that is slow or crowded: more calls at once make it slower.
--- a/src/policy/calls.h
+++ b/src/policy/calls.h
@@ -7,8 +7,9 @@
 
 namespace hingelink::policy {
 
-// Tries of one call where the outcome proves that it never ran (or the class is safe to repeat).
-constexpr int kCallTries = 3;
+// Tries of a call that is proven never to have run (or is safe to repeat). They are spread: a place that was
+// turned away stays taken a while.
+constexpr int kCallTries = 12;
 
 class Calls : protected Ends {
  protected:
@@ -30,7 +31,7 @@
     if (r == nullptr || r->state != State::kCalling) return;
     calls_.Over();
     calls_.See(e);
-    if (e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset) calls_.Linger(now_);
+    if (e.outcome != Outcome::kOk && e.outcome != Outcome::kError) calls_.Linger(now_);
     r->state = State::kCallWait;
     if (e.outcome == Outcome::kOk) {
       StandDown(e.id, *r);
--- a/src/policy/server.cpp
+++ b/src/policy/server.cpp
@@ -51,11 +51,9 @@
   }
 
   void Recall(const Learned& learned) {
-    for (const LearnedClass& known : learned.classes) {
-      for (Slot& slot : slots_) {
+    for (const LearnedClass& known : learned.classes)
+      for (Slot& slot : slots_)
         if (slot.listed && slot.told.name == known.name && known.samples >= 1) slot.mean = known;
-      }
-    }
   }
 
   Learned Tell() const {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,7 +1,10 @@
 // The module on scripted events, without the bench.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cmath>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -1135,6 +1138,51 @@
   EXPECT_EQ(h.calls[1] + h.calls[2], 2);
 }
 
+// A dependency that turns calls away does so for a while: a call made again at once burned all its tries
+// within a round trip, and a request that only it could serve failed.
+TEST(Calls, ACallTurnedAwayIsMadeAgainLaterNotAtOnce) {
+  Settings s = Site();
+  s.call_share = 1.5;  // One place.
+  Host h(s);
+  h.Arrive(1, kPay);
+  h.Play({AtCall{1}});
+  for (int tries = 1; tries <= 8; ++tries) {
+    ASSERT_EQ(h.calls[1], tries);
+    h.Play({CallEnded{1, Outcome::kFull, 1}});
+    h.PassTo(h.now + s.call_linger_ms / 2);
+    ASSERT_EQ(h.calls[1], tries);
+    h.PassTo(h.now + s.call_linger_ms);
+  }
+  EXPECT_EQ(h.fails[1], 0);
+}
+
+// Chance alone must not look like a crowd: lengths of calls spread widely, and the quickest mean of a few is
+// far below the true one.
+TEST(Calls, CallsOfTheSameKindKeepTheirShareWhateverChanceDoes) {
+  Settings s = Site();
+  s.call_share = 20;
+  s.cores = 1000;
+  s.memory_kb = 1e6;
+  Host h(s);
+  constexpr RequestId kAll = 900;
+  for (RequestId id = 1; id <= kAll; ++id) h.Arrive(id, kPay);
+  for (RequestId id = 1; id <= kAll; ++id) h.Play({AtCall{id}});
+  std::mt19937_64 draw(5);
+  std::lognormal_distribution<double> length(std::log(30.0), 0.8);
+  std::set<RequestId> done;
+  double in_hand = 0;
+  for (int i = 0; i < 800; ++i) {
+    const auto next = std::find_if(h.calls.begin(), h.calls.end(), [&done](const auto& c) {
+      return c.second == 1 && done.count(c.first) == 0;
+    });
+    ASSERT_NE(next, h.calls.end());
+    done.insert(next->first);
+    h.Play({CallEnded{next->first, Outcome::kOk, length(draw)}});
+    if (i >= 200) in_hand += static_cast<double>(h.calls.size() - done.size()) / 600;
+  }
+  EXPECT_GT(in_hand, 11);  // Of 20; 14 is the most that is ever taken.
+}
+
 // A slow dependency must see fewer calls at once, not the same number for longer.
 TEST(Calls, FewerCallsInHandWhileTheyTakeLonger) {
   Settings s = Site();
