--- a/bench/shares.sh
+++ b/bench/shares.sh
@@ -10,7 +10,7 @@
     path = $3
     if (path ~ /^tests\//) part = "tests"
     else if (path ~ /^src\/(standin|lab)\// || path ~ /^(bench|models)\// || path ~ /^src\/cli\/(lab|standin)/) part = "stand-ins and auditing tools"
-    else if (path ~ /^src\/(decide|state|fleet|background)\// || path ~ /^src\/(logic|settings)\.cpp/ || path ~ /^include\//) part = "decisions and state"
+    else if (path ~ /^src\/(decide|state|fleet|background|policy)\// || path ~ /^src\/(logic|settings)\.cpp/ || path ~ /^include\//) part = "decisions and state"
     else if (path ~ /^src\//) part = "all other code"
     else next
     lines[part] += $1; all += $1; if (part != "tests") code += $1
--- /dev/null
+++ b/src/net/gateway/connection.cpp
@@ -0,0 +1,386 @@
+#include "net/gateway/connection.h"
+
+#include <fcntl.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "log/log.h"
+
+namespace hingelink::net {
+namespace {
+
+constexpr std::size_t kMostOpen = 32;   // Requests on one connection.
+constexpr std::size_t kMostChecks = 8;  // Deep checks that wait on one connection.
+// Requests that could not be read, on one connection, after which it is ended.
+constexpr int kMostMalformed = 64;
+// Unread bytes held of one connection: always more than the longest frame that is kept.
+constexpr std::size_t kReadAhead = 2 * proto::kMostKept;
+// Unsent bytes from which a connection is not read: its gateway must take answers before it asks for more.
+constexpr std::size_t kUnsentPause = 16 * 1024;
+// Unsent bytes at which it is given up: above the pause and 32 of the longest answers. All connections that
+// the descriptors allow, each just under it, still fit into the node's memory.
+constexpr std::size_t kUnsentMost = 160 * 1024;
+// With no byte of a frame that has begun, or that is awaited from the accept on: a bad client is owed its end
+// within 3 s. On a connection that has sent whole frames; and for a whole frame, however steadily it comes.
+constexpr int kQuietLooks = 9, kQuietLooksUsed = 20, kFrameLooks = 40;
+// In its first frame, after which a connection makes room at the limit.
+constexpr int kRoomLooks = 4;
+constexpr int kFaultLooks = 4;    // From a framing fault, for the peer to take the error and close.
+constexpr int kStalledLooks = 8;  // With unsent bytes of which the peer takes none.
+// Bytes read and let go behind a framing fault, so that closing does not destroy the error on its way.
+constexpr std::size_t kLetGo = 4 << 20;
+
+}  // namespace
+
+const char* ReasonCode(EndReason reason) {
+  switch (reason) {
+    case EndReason::kPeerClosed:
+      return "peer-closed";
+    case EndReason::kReset:
+      return "reset";
+    case EndReason::kFraming:
+      return "framing";
+    case EndReason::kSilent:
+      return "silent";
+    case EndReason::kUnfinished:
+      return "unfinished";
+    case EndReason::kSlowReader:
+      return "slow-reader";
+    case EndReason::kIdle:
+      return "idle";
+    case EndReason::kMadeRoom:
+      return "made-room";
+    case EndReason::kAtLimit:
+      return "at-limit";
+    case EndReason::kDrained:
+      return "drained";
+    case EndReason::kHandedOver:
+      return "handed-over";
+    case EndReason::kShutdown:
+      return "shutdown";
+  }
+  return "unknown";
+}
+
+ConnectionSet::Connection::Connection(ConnectionSet& set, std::uint64_t id, evutil_socket_t fd,
+                                      Steady::time_point accepted)
+    : set_(set),
+      id_(id),
+      bev_(bufferevent_socket_new(set.base_, fd, BEV_OPT_CLOSE_ON_FREE)),
+      last_used_(accepted) {
+  if (!bev_) {
+    evutil_closesocket(fd);
+    throw std::runtime_error("libevent: no bufferevent");
+  }
+  SetNoDelay(fd);
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
+  Attach();
+}
+
+void ConnectionSet::Connection::Attach() {
+  bufferevent_setcb(
+      bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); },
+      [](bufferevent*, void* self) { static_cast<Connection*>(self)->Written(); },
+      [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->Event(what); }, this);
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+}
+
+void ConnectionSet::Connection::Deliver(std::uint32_t stream, const core::FinalAnswer& answer) {
+  const auto open = open_.extract(stream);
+  if (open.empty()) return;
+  if (answer.verdict == core::Verdict::kServed) use_ = Use::kServed;
+  Answer(stream, open.mapped().get(), answer);
+}
+
+void ConnectionSet::Connection::AnswerCheck(std::uint32_t stream, bool good) {
+  if (checks_.erase(stream) != 0) Write(proto::HealthAnswer(stream, good, set_.signal_));
+}
+
+void ConnectionSet::Connection::AskForNoMore() {
+  if (!std::exchange(asked_for_no_more_, true) && !ending_) Write(proto::NoNewRequests());
+}
+
+ConnectionSet::Look ConnectionSet::Connection::AsSeen() const {
+  return {.id = id_,
+          .requests = requests_,
+          .open = open_.size(),
+          .unsent_bytes = Unsent(bev_.get()),
+          .quiet = Steady::now() - last_used_};
+}
+
+void ConnectionSet::Connection::Continue() {
+  if (!std::exchange(held_back_, false)) return;
+  Read();
+}
+
+std::optional<ConnectionSet::Moving> ConnectionSet::Connection::Release() {
+  evbuffer* in = bufferevent_get_input(bev_.get());
+  if (ending_ || given_up_ || held_back_ || skip_ > 0 || !checks_.empty() || evbuffer_get_length(in) > 0)
+    return std::nullopt;
+  bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
+  ConnectionSet::Moving moving;
+  moving.id = id_;
+  // A descriptor of its own: this one closes with its bufferevent, in a later round of the loop.
+  const int copy = fcntl(bufferevent_getfd(bev_.get()), F_DUPFD_CLOEXEC, 0);
+  if (copy < 0) {
+    Attach();
+    return std::nullopt;
+  }
+  moving.socket = Descriptor(copy);
+  evutil_closesocket(bufferevent_getfd(bev_.get()));
+  bufferevent_setfd(bev_.get(), -1);
+  evbuffer* out = bufferevent_get_output(bev_.get());
+  moving.unsent.resize(evbuffer_get_length(out));
+  evbuffer_copyout(out, moving.unsent.data(), moving.unsent.size());
+  for (auto& [stream, counts] : open_) {
+    moving.open.push_back({stream, counts ? counts->name : std::string(), nullptr});
+  }
+  open_.clear();
+  moving.requests = requests_;
+  moving.malformed = malformed_;
+  moving.useful = use_ == Use::kServed;
+  moving.asked_for_no_more = asked_for_no_more_;
+  return moving;
+}
+
+void ConnectionSet::Connection::TakeOver(ConnectionSet::Moving moving) {
+  for (auto& open : moving.open) open_.emplace(open.stream, std::move(open.counts));
+  requests_ = moving.requests;
+  malformed_ = moving.malformed;
+  use_ = moving.useful ? Use::kServed : moving.requests > 0 ? Use::kFrames : Use::kNone;
+  asked_for_no_more_ = moving.asked_for_no_more;
+  if (!moving.unsent.empty()) Write(moving.unsent);
+}
+
+decide::Usefulness ConnectionSet::Connection::usefulness() const {
+  return {static_cast<int>(use_), std::chrono::nanoseconds(last_used_.time_since_epoch())};
+}
+
+bool ConnectionSet::Connection::Spare() const {
+  int unread = 0;
+  if (idle() && use_ == Use::kNone && frame_looks_ >= kRoomLooks) return true;
+  return idle() && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
+         ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &unread) == 0 && unread == 0;
+}
+
+std::optional<EndReason> ConnectionSet::Connection::Look() {
+  if (ending_) return ++fault_looks_ > kFaultLooks ? std::optional(EndReason::kFraming) : std::nullopt;
+  const std::size_t unsent = Unsent(bev_.get());
+  const std::uint64_t taken = written_ - unsent;
+  stalled_looks_ = unsent == 0 || taken != std::exchange(taken_, taken) ? 0 : stalled_looks_ + 1;
+  if (stalled_looks_ > kStalledLooks) return EndReason::kSlowReader;
+  const bool in_frame = skip_ > 0 || evbuffer_get_length(bufferevent_get_input(bev_.get())) > 0;
+  if (reading_paused_ || held_back_ || (use_ != Use::kNone && !in_frame)) return std::nullopt;
+  // Bytes that come count for more than time. Guards good clients on a slow line, or that pause.
+  const bool quiet = ++quiet_looks_ > (use_ == Use::kNone ? kQuietLooks : kQuietLooksUsed);
+  if (++frame_looks_ <= kFrameLooks && !quiet) return std::nullopt;
+  return in_frame ? EndReason::kUnfinished : EndReason::kSilent;
+}
+
+void ConnectionSet::Connection::Close(EndReason reason) {
+  bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
+  // At once, not when the object is freed: guards the descriptors while many come and go in one round.
+  evutil_closesocket(bufferevent_getfd(bev_.get()));
+  bufferevent_setfd(bev_.get(), -1);
+  if (fault_ != nullptr) {
+    log::PeerEvent("connection-end", {{"id", id_},
+                                      {"reason", ReasonCode(reason)},
+                                      {"requests", requests_},
+                                      {"open", open_.size()},
+                                      {"what", fault_}});
+  } else {
+    log::PeerEvent(
+        "connection-end",
+        {{"id", id_}, {"reason", ReasonCode(reason)}, {"requests", requests_}, {"open", open_.size()}});
+  }
+  for (const auto& [stream, counts] : open_) set_.events_.gone({id_, stream});
+  for (const std::uint32_t stream : checks_) set_.events_.gone({id_, stream});
+  open_.clear();
+  checks_.clear();
+}
+
+void ConnectionSet::Connection::Read() {
+  if (ending_) {
+    LetGo();
+    return;
+  }
+  last_used_ = Steady::now();
+  quiet_looks_ = 0;
+  if (held_back_) return;  // Continue() reads.
+  if (set_.events_.reading) set_.events_.reading(id_);
+  const std::string_view all = Arrived(bev_.get());
+  std::size_t done = 0;
+  while (!ending_ && !reading_paused_ && !given_up_) {
+    const std::size_t skipped = std::min(skip_, all.size() - done);
+    skip_ -= skipped;
+    done += skipped;
+    const auto head = proto::ReadHead(all.substr(done));
+    if (!head) break;
+    if (set_.events_.may_read && !set_.events_.may_read()) {
+      held_back_ = true;
+      set_.held_back_.push_back(id_);
+      break;
+    }
+    if (!head->LengthInRange()) {
+      Fault("length");
+      break;
+    }
+    // Guards against connections that each make the node hold a frame of the longest legal length: what
+    // no well-formed frame needs is let go as it comes.
+    if (head->Size() > proto::kMostKept) {
+      done += proto::kHeadBytes;
+      frame_looks_ = 0;
+      skip_ = head->Size() - proto::kHeadBytes;
+      Take(*head, {}, true);
+      continue;
+    }
+    if (all.size() - done < head->Size()) break;
+    const std::size_t payload = head->Size() - proto::kHeadBytes;
+    Take(*head, all.substr(done + proto::kHeadBytes, payload), false);
+    done += head->Size();
+    frame_looks_ = 0;
+    use_ = std::max(use_, Use::kFrames);
+  }
+  Consume(bev_.get(), ending_ ? all.size() : done);
+  if (given_up_) set_.End(id_, EndReason::kSlowReader);
+}
+
+void ConnectionSet::Connection::Take(const proto::FrameHead& head, std::string_view payload, bool too_long) {
+  ++work_;
+  switch (static_cast<proto::FrameType>(head.type)) {
+    case proto::FrameType::kRequest:
+      TakeRequest(head.stream, payload, too_long);
+      return;
+    case proto::FrameType::kGone:
+      if (open_.erase(head.stream) + checks_.erase(head.stream) != 0) set_.events_.gone({id_, head.stream});
+      return;
+    case proto::FrameType::kHealthCheck:
+      TakeCheck(head.stream, payload);
+      return;
+    default:
+      Fault("type");
+  }
+}
+
+void ConnectionSet::Connection::TakeCheck(std::uint32_t stream, std::string_view payload) {
+  // Guards against checks without end that nobody reads the answers of, and a stream that waits already.
+  const bool waits = set_.deep_ && set_.healthy_ && set_.events_.check && proto::AsksForWork(payload) &&
+                     checks_.size() < kMostChecks && checks_.insert(stream).second;
+  if (waits) {
+    set_.events_.check({id_, stream});
+  } else {
+    Write(proto::HealthAnswer(stream, set_.healthy_, set_.signal_));
+  }
+}
+
+void ConnectionSet::Connection::TakeRequest(std::uint32_t stream, std::string_view payload, bool too_long) {
+  // The answer to a request on such a stream could not be told from another's.
+  if (stream == 0 || open_.count(stream) != 0) {
+    Fault("stream");
+    return;
+  }
+  ++requests_;
+  proto::RequestFrame frame;
+  const char* fault = too_long ? "too long" : proto::ParseRequest(payload, frame);
+  const core::ClassCountsPtr counts = set_.events_.counts(frame.kind);
+  if (fault != nullptr) {
+    // It never ran, and no other node would read it otherwise.
+    Answer(stream, counts.get(), core::Refused(true));
+    // Guards against a peer that sends such requests without end, and takes the core with them.
+    if (++malformed_ >= kMostMalformed) Fault("malformed");
+    return;
+  }
+  if (open_.size() >= kMostOpen) {
+    Answer(stream, counts.get(), core::Refused());
+    return;
+  }
+  open_.emplace(stream, counts);
+  set_.events_.request({.reply_to = {id_, stream},
+                        .kind = frame.kind,
+                        .req = frame.req,
+                        .arrived = frame.ts,
+                        .timeout = frame.timeout,
+                        .work = frame.work,
+                        .held_kb = frame.need_kb,
+                        .rank = frame.level,
+                        .subject = frame.subject,
+                        .key = frame.opkey,
+                        .owner = frame.owner,
+                        .is_retry = frame.resent,
+                        .caller = frame.via,
+                        .body = frame.body});
+}
+
+void ConnectionSet::Connection::Answer(std::uint32_t stream, core::ClassCounts* counts,
+                                       const core::FinalAnswer& answer) {
+  ++work_;
+  if (counts != nullptr) counts->Count(answer.verdict);
+  proto::AnswerCode code = proto::AnswerCode::kFailed;
+  if (answer.verdict == core::Verdict::kServed) code = proto::AnswerCode::kServed;
+  if (answer.verdict == core::Verdict::kRefused) code = proto::AnswerCode::kRefused;
+  const proto::AnswerFields fields{set_.signal_, answer.stay_away, answer.try_no_other};
+  Write(proto::AnswerHead(stream, code, fields, answer.result.size()));
+  if (!answer.result.empty()) Write(answer.result);
+}
+
+void ConnectionSet::Connection::Write(std::string_view bytes) {
+  last_used_ = Steady::now();
+  Send(bev_.get(), bytes);
+  written_ += bytes.size();
+  const std::size_t unsent = Unsent(bev_.get());
+  // Guards against a gateway that asks and never reads: first it is not read, then it is let go.
+  if (unsent > kUnsentMost) given_up_ = true;
+  if (unsent > kUnsentPause && !reading_paused_) {
+    reading_paused_ = true;
+    bufferevent_disable(bev_.get(), EV_READ);
+  }
+}
+
+void ConnectionSet::Connection::Written() {
+  if (ending_) {
+    shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
+    return;
+  }
+  if (!reading_paused_) return;
+  reading_paused_ = false;
+  bufferevent_enable(bev_.get(), EV_READ);
+  Read();
+}
+
+void ConnectionSet::Connection::Fault(const char* what) {
+  fault_ = what;
+  ending_ = true;
+  use_ = Use::kNone;
+  for (const auto& [stream, counts] : std::exchange(open_, {})) {
+    Answer(stream, counts.get(), core::Failed());
+    set_.events_.gone({id_, stream});
+  }
+  Write(proto::AnswerHead(0, proto::AnswerCode::kFailed, {}, 0));
+  bufferevent_enable(bev_.get(), EV_READ);
+}
+
+void ConnectionSet::Connection::LetGo() {
+  const std::size_t size = evbuffer_get_length(bufferevent_get_input(bev_.get()));
+  Consume(bev_.get(), size);
+  let_go_ += size;
+  if (let_go_ > kLetGo) set_.End(id_, EndReason::kFraming);
+}
+
+void ConnectionSet::Connection::Event(short what) {
+  if (ending_) {
+    set_.End(id_, EndReason::kFraming);
+  } else if ((what & BEV_EVENT_EOF) != 0) {
+    set_.End(id_, EndReason::kPeerClosed);
+  } else if ((what & BEV_EVENT_ERROR) != 0) {
+    set_.End(id_, EndReason::kReset);
+  }
+}
+
+}  // namespace hingelink::net
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,13 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <csignal>
-#include <exception>
-#include <tuple>
 #include <type_traits>
 #include <utility>
 #include <variant>
 
-#include "decide/recall.h"
 #include "log/log.h"
 #include "net/gateway_front.h"
 #include "net/loop_group.h"
@@ -26,17 +23,11 @@
 constexpr auto kGaugeLead = 4ms;
 // From the module's last moment to the kill: time to flush on a core that others use too.
 constexpr auto kFlush = 150ms;
-// Before the kill: no more connections are taken, and those that stand are asked for no more.
-constexpr auto kCloseListener = 500ms;
 // Before the kill: the process ends, whoever is still connected.
 constexpr auto kEnd = 60ms;
 constexpr auto kLastFlush = 20ms;
 constexpr auto kDrainLook = 10ms;
-// Beside a successor the kill follows so long behind the longest deadline, which is taken as at most this.
-constexpr auto kBehindLongest = 700ms, kLongestTaken = 3000ms;
 constexpr std::size_t kMostThreads = 64;
-// Between two words on what this process has in hand.
-constexpr auto kTellEach = 4ms;
 // What a joined part may do in one batch (ours). Beside requests: what a request or two cost, so that news in
 // any number adds no more to an answer than one more request before it does.
 constexpr Allowance kAlone{.events = 64, .work = 1ms}, kBesideRequests{.events = 8, .work = 100us};
@@ -55,19 +46,6 @@
   return Outcome::kError;
 }
 
-proto::KeyLine LineOf(const KeyNews& news) {
-  return {news.key,
-          news.content,
-          static_cast<int>(news.fate),
-          news.left,
-          news.result.has_value(),
-          news.result ? news.result->size() : 0};
-}
-
-std::string_view ResultOf(const KeyNews& news) {
-  return news.result ? std::string_view(*news.result) : std::string_view();
-}
-
 net::EventPtr OnSignal(event_base* base, int number, void (*call)(evutil_socket_t, short, void*), void* arg) {
   net::EventPtr event(evsignal_new(base, number, call, arg));
   if (event) evsignal_add(event.get(), nullptr);
@@ -90,11 +68,7 @@
            .load = [this] { SeeOthers(); },
            .learned = [this] { return TellSuccessor(); },
            .predecessor_learned = [this](const proto::LearnedLine& line) { HearPredecessor(line); },
-           .keys =
-               [this](const net::Handover::EachKey& each) {
-                 table_.keys().Tell(Steady::now(),
-                                    [&each](const KeyNews& news) { each(LineOf(news), ResultOf(news)); });
-               },
+           .keys = [this](const net::Handover::EachKey& each) { TellKeys(each); },
            .key_told = [this](const proto::KeyLine& line, std::string_view result) { HearKey(line, result); },
            .settled = [this] { SeeKeys(); }}),
       front_(MakeFront()),
@@ -336,19 +310,6 @@
   return text;
 }
 
-void Node::OtherProcesses::Gather(Batch& batch) {
-  if (!changed_) return;
-  const proto::LoadLine load = node_.handover_.others_load();
-  changed_ = !batch.Add(hingelink::OtherLoad{{load.running, load.kb, load.work_ms}});
-}
-
-void Node::OtherProcesses::Stepped() {
-  if (!node_.handover_.has_others() || Steady::now() - told_at_ < kTellEach) return;
-  told_at_ = Steady::now();
-  const hingelink::Load load = node_.policy_->InHand();
-  node_.handover_.Tell({load.running, load.kb, load.work_ms, node_.front_->connections()});
-}
-
 void Node::Carry(const hingelink::Action& action) {
   std::visit(
       [this](const auto& a) {
@@ -390,244 +351,4 @@
   gauge_timer_.After(in - kGaugeLead);
 }
 
-void Node::SeeOthers() {
-  other_processes_.Changed();
-  // The descriptors are one limit for all processes of this node, and each keeps its own reserve.
-  const std::size_t taken = reserved() * (1 + handover_.others()) + handover_.others_load().connections;
-  const auto sockets = static_cast<std::size_t>(config_.sockets);
-  front_->SetMostConnections(sockets > taken ? sockets - taken : 1, handover_.has_others());
-}
-
-void Node::SeeKeys() {
-  using Others = RequestTable::Others;
-  if (!handover_.has_predecessor()) table_.OthersEnded();
-  table_.SetOthers(handed_over_               ? Others::kElsewhere
-                   : handover_.keys_known()   ? Others::kKnown
-                   : handover_.keys_overdue() ? Others::kNever
-                                              : Others::kNotYet);
-}
-
-void Node::TellKey(const core::OperationKey& key) {
-  if (!handed_over_) return;
-  const KeyNews news = table_.keys().Of(key, Steady::now());
-  handover_.TellKey(LineOf(news), ResultOf(news));
-}
-
-void Node::HearKey(const proto::KeyLine& line, std::string_view result) {
-  KeyNews news{.key = line.key,
-               .content = line.content,
-               .fate = static_cast<KeyFate>(line.fate),
-               .left = line.left,
-               .result = std::nullopt};
-  if (line.has_result) news.result = result;
-  table_.Hear(news);
-  // A third process may have taken over from this one by then.
-  TellKey(line.key);
-}
-
-void Node::Recall(const hingelink::Learned& learned) {
-  for (const hingelink::LearnedClass& known : learned.classes) {
-    std::erase_if(recalled_.classes, [&known](const auto& c) { return c.name == known.name; });
-    recalled_.classes.push_back(known);
-  }
-}
-
-std::vector<proto::LearnedLine> Node::TellSuccessor() const {
-  std::vector<proto::LearnedLine> lines;
-  for (const hingelink::LearnedClass& c : Tell().classes) {
-    const auto told = std::find_if(config_.settings.classes.begin(), config_.settings.classes.end(),
-                                   [&c](const auto& t) { return t.name == c.name; });
-    if (told == config_.settings.classes.end()) continue;
-    lines.push_back({c.name, told->aim_ms, told->deadline_ms, c.run_ms, c.cost_ms, c.hint_ms, c.samples});
-  }
-  return lines;
-}
-
-void Node::HearPredecessor(const proto::LearnedLine& line) {
-  // Once decisions have begun, this process knows better. A predecessor may have had another file.
-  if (policy_) return;
-  const decide::Remembered remembered{config_.name,
-                                      std::chrono::milliseconds(0),
-                                      config_.settings.cores,
-                                      {{line.name, line.aim, line.deadline}},
-                                      {{{line.name, line.run, line.cost, line.hint, line.samples}}}};
-  Recall(decide::Recall(remembered, config_.name, std::chrono::milliseconds(0), config_.settings).learned);
-}
-
-void Node::HandOver() {
-  log::Info("handed-over", {{"connections", front_->connections()}, {"unanswered", table_.unanswered()}});
-  handed_over_ = true;
-  listening_ = false;
-  front_->PauseListening();
-  front_->AskForNoMore();
-  front_->CloseQuiet();
-  SeeKeys();
-  Turn(Joined::Turn::kHandedOver);
-}
-
-// Guards against a successor that dies: its clients are served by this process again.
-void Node::TakeBack() {
-  if (leaving_) return;
-  log::Warn("taken-back");
-  handed_over_ = false;
-  listening_ = true;
-  front_->ResumeListening();
-  SeeKeys();
-  Turn(Joined::Turn::kTakenBack);
-}
-
-bool Node::Leave() {
-  if (leaving_) return false;
-  leaving_ = true;
-  Turn(Joined::Turn::kLeaving);
-  if (handed_over_) {
-    // No drain: nothing is to be moved away, and what is in hand is run and answered in its own time.
-    notice_given_ = true;
-    double longest = 0;
-    for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline_ms);
-    const Millis stop = std::min(Millis(longest), Millis(kLongestTaken)) + kBehindLongest;
-    kill_at_ = Steady::now() + std::chrono::duration_cast<Steady::duration>(stop);
-    log::Info("leave", {{"successor", true}, {"stop_ms", std::llround(stop.count())}});
-    return true;
-  }
-  kill_at_ = Steady::now() + config_.stop;
-  log::Info("drain", {{"stop_ms", config_.stop.count()}});
-  front_->AskForNoMore();
-  registry_.Drain();
-  return true;
-}
-
-// Takes the whole file or nothing of it. Name, addresses of its own and seed hold for the process's whole
-// life.
-std::string Node::Reload() {
-  try {
-    Config fresh = reread_();
-    fresh.CheckAgainst(config_);
-    const sockaddr_in pool = net::ParseAddress(fresh.pool), registry = net::ParseAddress(fresh.registry);
-    if (!fresh.store.empty()) net::ParseAddress(fresh.store);
-    // The arrivals so far name their class by its place in the settings that held when they came.
-    Step();
-    if (policy_) policy_->Retune(fresh.settings);
-    log::Info("reload", {{"pool", fresh.pool},
-                         {"registry", fresh.registry},
-                         {"classes", fresh.settings.classes.size()},
-                         {"needs_restart", fresh.NeedsRestart(config_)}});
-    config_.settings = std::move(fresh.settings);
-    config_.text = std::move(fresh.text);
-    config_.stop = fresh.stop;
-    config_.sockets = fresh.sockets;
-    table_.Retune();
-    metrics_.SetClasses(config_.settings.classes);
-    front_->ClassesChanged();
-    metrics_.CountReload(true);
-    SeeOthers();
-    if (std::exchange(config_.pool, fresh.pool) != fresh.pool) pool_->Move(pool);
-    if (std::exchange(config_.store, fresh.store) != fresh.store) MoveStore(fresh.store);
-    if (std::exchange(config_.registry, fresh.registry) != fresh.registry) {
-      registry_.Move(registry, fresh.registry);
-    }
-    Turn(Joined::Turn::kReloaded);
-    return {};
-  } catch (const std::exception& fault) {
-    metrics_.CountReload(false);
-    log::Warn("reload-failed", {{"what", fault.what()}});
-    return fault.what();
-  }
-}
-
-const char* StateName(NodeState state) {
-  switch (state) {
-    case NodeState::kStarting:
-      return "starting";
-    case NodeState::kServing:
-      return "serving";
-    case NodeState::kHandedOver:
-      return "handed-over";
-    case NodeState::kDraining:
-      break;
-  }
-  return "draining";
-}
-
-Snapshot Node::See() const {
-  constexpr std::size_t kGatewaysShown = 16;
-  Snapshot seen;
-  const auto ms = [](Steady::duration span) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
-  };
-  const Steady::time_point now = Steady::now();
-  seen.name = config_.name;
-  seen.state = leaving_       ? NodeState::kDraining
-               : handed_over_ ? NodeState::kHandedOver
-               : policy_      ? NodeState::kServing
-                              : NodeState::kStarting;
-  seen.ready = Ready();
-  seen.uptime = ms(now - began_);
-  RequestTable::InHand in_hand = table_.Count();
-  for (const core::ClassCounts& counts : metrics_.classes()) {
-    const auto count = in_hand.classes.extract(counts.name);
-    const RequestTable::InHand::Count open = count.empty() ? RequestTable::InHand::Count{} : count.mapped();
-    seen.classes.push_back(
-        {counts.name, open.held, open.running, counts.served, counts.refused, counts.failed});
-  }
-  for (const auto& [via, counts] : metrics_.gateways()) {
-    const auto open = in_hand.open_by_gateway.find(via);
-    seen.gateways.push_back({via, open == in_hand.open_by_gateway.end() ? 0 : open->second, counts.requests,
-                             counts.answers.served, counts.answers.refused, counts.answers.failed});
-  }
-  seen.gateways_known = seen.gateways.size();
-  std::sort(seen.gateways.begin(), seen.gateways.end(),
-            [](const GatewaySnapshot& a, const GatewaySnapshot& b) {
-              return std::tie(b.open, b.requests, a.via) < std::tie(a.open, a.requests, b.via);
-            });
-  if (seen.gateways.size() > kGatewaysShown) seen.gateways.resize(kGatewaysShown);
-  seen.loops = SeeLoops();
-  seen.owed = table_.unanswered();
-  seen.connections = front_->connections();
-  seen.runs = metrics_.runs();
-  if (policy_) seen.held_kb = policy_->InHand().kb;
-  seen.pool_bound = pool_->settled();
-  seen.pool_address = config_.pool;
-  const auto& names = config_.settings.gauges;
-  const auto busy = std::find(names.begin(), names.end(), "cpu_busy");
-  const std::vector<double>& gauges = pool_->gauges();
-  if (const auto at = static_cast<std::size_t>(busy - names.begin()); at < gauges.size()) {
-    seen.pool_busy = gauges[at];
-  }
-  seen.registry_good = registry_.good();
-  seen.registry_address = config_.registry;
-  if (leaving_) seen.drain = {ms(std::max(Steady::duration(0), kill_at_ - now)), seen.owed};
-  return seen;
-}
-
-std::vector<LoopSnapshot> Node::SeeLoops() const {
-  std::vector<LoopSnapshot> seen;
-  for (const auto& loop : front_->Loops()) {
-    seen.push_back({.connections = loop.connections,
-                    .told_waiting = loop.told_waiting,
-                    .orders_waiting = loop.orders_waiting,
-                    .busy = loop.busy,
-                    .taken = loop.taken,
-                    .hung = loop.hung});
-  }
-  return seen;
-}
-
-std::vector<ConnectionSnapshot> Node::SeeConnections(std::size_t most) const {
-  std::vector<ConnectionSnapshot> seen;
-  for (const auto& look : front_->LookAt(most)) {
-    seen.push_back({look.id, look.requests, look.open, look.unsent_bytes,
-                    std::chrono::duration_cast<std::chrono::milliseconds>(look.quiet)});
-  }
-  return seen;
-}
-
-void Node::DrainStep() {
-  if (!listening_ || Steady::now() < kill_at_ - kCloseListener) return;
-  listening_ = false;
-  handover_.Withdraw();
-  front_->StopListening();
-  front_->AskForNoMore();
-}
-
 }  // namespace hingelink::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -109,6 +109,7 @@
   void SeeOthers();
   // What is known of their keys has changed; a key of this process has; another tells of one of its own.
   void SeeKeys();
+  void TellKeys(const net::Handover::EachKey& each) const;
   void TellKey(const core::OperationKey& key);
   void HearKey(const proto::KeyLine& line, std::string_view result);
   std::string Figures() const;
--- /dev/null
+++ b/src/node/node_leave.cpp
@@ -0,0 +1,111 @@
+// A node that hands over, leaves, or takes another configuration.
+#include <algorithm>
+#include <cmath>
+#include <exception>
+#include <utility>
+
+#include "log/log.h"
+#include "node/node.h"
+
+namespace hingelink::node {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Before the kill: no more connections are taken, and those that stand are asked for no more.
+constexpr auto kCloseListener = 500ms;
+// Beside a successor the kill follows so long behind the longest deadline, which is taken as at most this.
+constexpr auto kBehindLongest = 700ms, kLongestTaken = 3000ms;
+
+}  // namespace
+
+void Node::HandOver() {
+  log::Info("handed-over", {{"connections", front_->connections()}, {"unanswered", table_.unanswered()}});
+  handed_over_ = true;
+  listening_ = false;
+  front_->PauseListening();
+  front_->AskForNoMore();
+  front_->CloseQuiet();
+  SeeKeys();
+  Turn(Joined::Turn::kHandedOver);
+}
+
+// Guards against a successor that dies: its clients are served by this process again.
+void Node::TakeBack() {
+  if (leaving_) return;
+  log::Warn("taken-back");
+  handed_over_ = false;
+  listening_ = true;
+  front_->ResumeListening();
+  SeeKeys();
+  Turn(Joined::Turn::kTakenBack);
+}
+
+bool Node::Leave() {
+  if (leaving_) return false;
+  leaving_ = true;
+  Turn(Joined::Turn::kLeaving);
+  if (handed_over_) {
+    // No drain: nothing is to be moved away, and what is in hand is run and answered in its own time.
+    notice_given_ = true;
+    double longest = 0;
+    for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline_ms);
+    const Millis stop = std::min(Millis(longest), Millis(kLongestTaken)) + kBehindLongest;
+    kill_at_ = Steady::now() + std::chrono::duration_cast<Steady::duration>(stop);
+    log::Info("leave", {{"successor", true}, {"stop_ms", std::llround(stop.count())}});
+    return true;
+  }
+  kill_at_ = Steady::now() + config_.stop;
+  log::Info("drain", {{"stop_ms", config_.stop.count()}});
+  front_->AskForNoMore();
+  registry_.Drain();
+  return true;
+}
+
+// Takes the whole file or nothing of it. Name, addresses of its own and seed hold for the process's whole
+// life.
+std::string Node::Reload() {
+  try {
+    Config fresh = reread_();
+    fresh.CheckAgainst(config_);
+    const sockaddr_in pool = net::ParseAddress(fresh.pool), registry = net::ParseAddress(fresh.registry);
+    if (!fresh.store.empty()) net::ParseAddress(fresh.store);
+    // The arrivals so far name their class by its place in the settings that held when they came.
+    Step();
+    if (policy_) policy_->Retune(fresh.settings);
+    log::Info("reload", {{"pool", fresh.pool},
+                         {"registry", fresh.registry},
+                         {"classes", fresh.settings.classes.size()},
+                         {"needs_restart", fresh.NeedsRestart(config_)}});
+    config_.settings = std::move(fresh.settings);
+    config_.text = std::move(fresh.text);
+    config_.stop = fresh.stop;
+    config_.sockets = fresh.sockets;
+    table_.Retune();
+    metrics_.SetClasses(config_.settings.classes);
+    front_->ClassesChanged();
+    metrics_.CountReload(true);
+    SeeOthers();
+    if (std::exchange(config_.pool, fresh.pool) != fresh.pool) pool_->Move(pool);
+    if (std::exchange(config_.store, fresh.store) != fresh.store) MoveStore(fresh.store);
+    if (std::exchange(config_.registry, fresh.registry) != fresh.registry) {
+      registry_.Move(registry, fresh.registry);
+    }
+    Turn(Joined::Turn::kReloaded);
+    return {};
+  } catch (const std::exception& fault) {
+    metrics_.CountReload(false);
+    log::Warn("reload-failed", {{"what", fault.what()}});
+    return fault.what();
+  }
+}
+
+void Node::DrainStep() {
+  if (!listening_ || Steady::now() < kill_at_ - kCloseListener) return;
+  listening_ = false;
+  handover_.Withdraw();
+  front_->StopListening();
+  front_->AskForNoMore();
+}
+
+}  // namespace hingelink::node
--- /dev/null
+++ b/src/node/node_look.cpp
@@ -0,0 +1,98 @@
+// What is shown of a node.
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+#include <utility>
+
+#include "node/node.h"
+
+namespace hingelink::node {
+
+const char* StateName(NodeState state) {
+  switch (state) {
+    case NodeState::kStarting:
+      return "starting";
+    case NodeState::kServing:
+      return "serving";
+    case NodeState::kHandedOver:
+      return "handed-over";
+    case NodeState::kDraining:
+      break;
+  }
+  return "draining";
+}
+
+Snapshot Node::See() const {
+  constexpr std::size_t kGatewaysShown = 16;
+  Snapshot seen;
+  const auto ms = [](Steady::duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+  };
+  const Steady::time_point now = Steady::now();
+  seen.name = config_.name;
+  seen.state = leaving_       ? NodeState::kDraining
+               : handed_over_ ? NodeState::kHandedOver
+               : policy_      ? NodeState::kServing
+                              : NodeState::kStarting;
+  seen.ready = Ready();
+  seen.uptime = ms(now - began_);
+  RequestTable::InHand in_hand = table_.Count();
+  for (const core::ClassCounts& counts : metrics_.classes()) {
+    const auto count = in_hand.classes.extract(counts.name);
+    const RequestTable::InHand::Count open = count.empty() ? RequestTable::InHand::Count{} : count.mapped();
+    seen.classes.push_back(
+        {counts.name, open.held, open.running, counts.served, counts.refused, counts.failed});
+  }
+  for (const auto& [via, counts] : metrics_.gateways()) {
+    const auto open = in_hand.open_by_gateway.find(via);
+    seen.gateways.push_back({via, open == in_hand.open_by_gateway.end() ? 0 : open->second, counts.requests,
+                             counts.answers.served, counts.answers.refused, counts.answers.failed});
+  }
+  seen.gateways_known = seen.gateways.size();
+  std::sort(seen.gateways.begin(), seen.gateways.end(),
+            [](const GatewaySnapshot& a, const GatewaySnapshot& b) {
+              return std::tie(b.open, b.requests, a.via) < std::tie(a.open, a.requests, b.via);
+            });
+  if (seen.gateways.size() > kGatewaysShown) seen.gateways.resize(kGatewaysShown);
+  seen.loops = SeeLoops();
+  seen.owed = table_.unanswered();
+  seen.connections = front_->connections();
+  seen.runs = metrics_.runs();
+  if (policy_) seen.held_kb = policy_->InHand().kb;
+  seen.pool_bound = pool_->settled();
+  seen.pool_address = config_.pool;
+  const auto& names = config_.settings.gauges;
+  const auto busy = std::find(names.begin(), names.end(), "cpu_busy");
+  const std::vector<double>& gauges = pool_->gauges();
+  if (const auto at = static_cast<std::size_t>(busy - names.begin()); at < gauges.size()) {
+    seen.pool_busy = gauges[at];
+  }
+  seen.registry_good = registry_.good();
+  seen.registry_address = config_.registry;
+  if (leaving_) seen.drain = {ms(std::max(Steady::duration(0), kill_at_ - now)), seen.owed};
+  return seen;
+}
+
+std::vector<LoopSnapshot> Node::SeeLoops() const {
+  std::vector<LoopSnapshot> seen;
+  for (const auto& loop : front_->Loops()) {
+    seen.push_back({.connections = loop.connections,
+                    .told_waiting = loop.told_waiting,
+                    .orders_waiting = loop.orders_waiting,
+                    .busy = loop.busy,
+                    .taken = loop.taken,
+                    .hung = loop.hung});
+  }
+  return seen;
+}
+
+std::vector<ConnectionSnapshot> Node::SeeConnections(std::size_t most) const {
+  std::vector<ConnectionSnapshot> seen;
+  for (const auto& look : front_->LookAt(most)) {
+    seen.push_back({look.id, look.requests, look.open, look.unsent_bytes,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(look.quiet)});
+  }
+  return seen;
+}
+
+}  // namespace hingelink::node
--- /dev/null
+++ b/src/node/node_others.cpp
@@ -0,0 +1,111 @@
+// What a node and the other processes of it tell each other: load, keys, what was learned.
+#include <algorithm>
+#include <utility>
+
+#include "decide/recall.h"
+#include "node/node.h"
+
+namespace hingelink::node {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Between two words on what this process has in hand.
+constexpr auto kTellEach = 4ms;
+
+proto::KeyLine LineOf(const KeyNews& news) {
+  return {news.key,
+          news.content,
+          static_cast<int>(news.fate),
+          news.left,
+          news.result.has_value(),
+          news.result ? news.result->size() : 0};
+}
+
+std::string_view ResultOf(const KeyNews& news) {
+  return news.result ? std::string_view(*news.result) : std::string_view();
+}
+}  // namespace
+
+void Node::OtherProcesses::Gather(Batch& batch) {
+  if (!changed_) return;
+  const proto::LoadLine load = node_.handover_.others_load();
+  changed_ = !batch.Add(hingelink::OtherLoad{{load.running, load.kb, load.work_ms}});
+}
+
+void Node::OtherProcesses::Stepped() {
+  if (!node_.handover_.has_others() || Steady::now() - told_at_ < kTellEach) return;
+  told_at_ = Steady::now();
+  const hingelink::Load load = node_.policy_->InHand();
+  node_.handover_.Tell({load.running, load.kb, load.work_ms, node_.front_->connections()});
+}
+
+void Node::SeeOthers() {
+  other_processes_.Changed();
+  // The descriptors are one limit for all processes of this node, and each keeps its own reserve.
+  const std::size_t taken = reserved() * (1 + handover_.others()) + handover_.others_load().connections;
+  const auto sockets = static_cast<std::size_t>(config_.sockets);
+  front_->SetMostConnections(sockets > taken ? sockets - taken : 1, handover_.has_others());
+}
+
+void Node::SeeKeys() {
+  using Others = RequestTable::Others;
+  if (!handover_.has_predecessor()) table_.OthersEnded();
+  table_.SetOthers(handed_over_               ? Others::kElsewhere
+                   : handover_.keys_known()   ? Others::kKnown
+                   : handover_.keys_overdue() ? Others::kNever
+                                              : Others::kNotYet);
+}
+
+void Node::TellKeys(const net::Handover::EachKey& each) const {
+  table_.keys().Tell(Steady::now(), [&each](const KeyNews& news) { each(LineOf(news), ResultOf(news)); });
+}
+
+void Node::TellKey(const core::OperationKey& key) {
+  if (!handed_over_) return;
+  const KeyNews news = table_.keys().Of(key, Steady::now());
+  handover_.TellKey(LineOf(news), ResultOf(news));
+}
+
+void Node::HearKey(const proto::KeyLine& line, std::string_view result) {
+  KeyNews news{.key = line.key,
+               .content = line.content,
+               .fate = static_cast<KeyFate>(line.fate),
+               .left = line.left,
+               .result = std::nullopt};
+  if (line.has_result) news.result = result;
+  table_.Hear(news);
+  // A third process may have taken over from this one by then.
+  TellKey(line.key);
+}
+
+void Node::Recall(const hingelink::Learned& learned) {
+  for (const hingelink::LearnedClass& known : learned.classes) {
+    std::erase_if(recalled_.classes, [&known](const auto& c) { return c.name == known.name; });
+    recalled_.classes.push_back(known);
+  }
+}
+
+std::vector<proto::LearnedLine> Node::TellSuccessor() const {
+  std::vector<proto::LearnedLine> lines;
+  for (const hingelink::LearnedClass& c : Tell().classes) {
+    const auto told = std::find_if(config_.settings.classes.begin(), config_.settings.classes.end(),
+                                   [&c](const auto& t) { return t.name == c.name; });
+    if (told == config_.settings.classes.end()) continue;
+    lines.push_back({c.name, told->aim_ms, told->deadline_ms, c.run_ms, c.cost_ms, c.hint_ms, c.samples});
+  }
+  return lines;
+}
+
+void Node::HearPredecessor(const proto::LearnedLine& line) {
+  // Once decisions have begun, this process knows better. A predecessor may have had another file.
+  if (policy_) return;
+  const decide::Remembered remembered{config_.name,
+                                      std::chrono::milliseconds(0),
+                                      config_.settings.cores,
+                                      {{line.name, line.aim, line.deadline}},
+                                      {{{line.name, line.run, line.cost, line.hint, line.samples}}}};
+  Recall(decide::Recall(remembered, config_.name, std::chrono::milliseconds(0), config_.settings).learned);
+}
+
+}  // namespace hingelink::node
