--- a/src/net/connection_set.cpp
+++ b/src/net/connection_set.cpp
@@ -18,6 +18,28 @@
 constexpr auto kQuiet = 100ms;
 constexpr auto kQuietSweep = 25ms;
 
+// Whether the peer may still have answers to read, or something on its way, so that the connection is not to
+// be reset under it. The others are over on the peer's side, or their descriptor is needed at once.
+bool Lingers(EndReason reason) {
+  switch (reason) {
+    case EndReason::kFraming:
+    case EndReason::kSilent:
+    case EndReason::kUnfinished:
+    case EndReason::kIdle:
+    case EndReason::kHandedOver:
+    case EndReason::kShutdown:
+      return true;
+    case EndReason::kPeerClosed:
+    case EndReason::kReset:
+    case EndReason::kSlowReader:
+    case EndReason::kMadeRoom:
+    case EndReason::kAtLimit:
+    case EndReason::kDrained:
+      break;
+  }
+  return false;
+}
+
 }  // namespace
 
 ConnectionSet::ConnectionSet(event_base* base, Events events)
@@ -25,11 +47,12 @@
       events_(std::move(events)),
       idle_sweep_(base, [this] { SweepIdle(); }),
       look_(base, [this] { LookForSlow(); }),
-      quiet_sweep_(base, [this] { CloseQuiet(); }) {
+      quiet_sweep_(base, [this] { CloseQuiet(); }),
+      lingering_(base, events_.ended) {
   look_.After(kLook);
 }
 
-ConnectionSet::~ConnectionSet() { Shutdown(); }
+ConnectionSet::~ConnectionSet() { Shutdown({}); }
 
 std::vector<ConnectionSet::Look> ConnectionSet::LookAt(std::size_t most) const {
   std::vector<Look> seen;
@@ -40,8 +63,14 @@
   return seen;
 }
 
-void ConnectionSet::Shutdown() {
+void ConnectionSet::Shutdown(Steady::time_point until) {
   while (!connections_.empty()) End(connections_.begin()->first, EndReason::kShutdown);
+  bool overdue = false;
+  Timer limit(base_, [&overdue] { overdue = true; });
+  limit.After(until - Steady::now());
+  while (lingering_.size() > 0 && !overdue && Steady::now() < until) event_base_loop(base_, EVLOOP_ONCE);
+  while (lingering_.CloseOldest()) {
+  }
   Sweep();
 }
 
@@ -73,12 +102,15 @@
 }
 
 std::optional<decide::Usefulness> ConnectionSet::LeastUseful() const {
+  constexpr int kOfNoUse = -1;  // Less than any connection that stands.
+  if (lingering_.size() > 0) return decide::Usefulness{kOfNoUse, std::chrono::nanoseconds(0)};
   const auto least = FindLeastUseful();
   return least == connections_.end() ? std::nullopt : std::optional(least->second->usefulness());
 }
 
 // Guards against peers that take up all connections and ask nothing, so that no gateway gets one.
 bool ConnectionSet::MakeRoom() {
+  if (lingering_.CloseOldest()) return true;
   const auto least = FindLeastUseful();
   if (least == connections_.end()) return false;
   End(least->first, EndReason::kMadeRoom);
@@ -100,7 +132,12 @@
   if (asked_for_no_more_ && reason == EndReason::kPeerClosed) reason = EndReason::kDrained;
   ended_.push_back(std::move(it->second));
   connections_.erase(it);
-  ended_.back()->Close(reason);
+  Descriptor socket = ended_.back()->Detach(reason);
+  if (Lingers(reason)) {
+    lingering_.Add(id, std::move(socket));
+    return;
+  }
+  socket = Descriptor();
   if (events_.ended) events_.ended(id);
 }
 
@@ -130,7 +167,7 @@
   const Steady::time_point limit = Steady::now() - idle_after_;
   std::vector<std::uint64_t> idle;
   for (const auto& [id, connection] : connections_) {
-    if (connection->idle() && connection->last_used() < limit) idle.push_back(id);
+    if (connection->last_used() < limit && connection->Resting()) idle.push_back(id);
   }
   for (const std::uint64_t id : idle) End(id, EndReason::kIdle);
   idle_sweep_.After(std::clamp(idle_after_ / 4, 10ms, 1000ms));
--- a/src/net/connection_set.h
+++ b/src/net/connection_set.h
@@ -14,6 +14,7 @@
 #include "core/front.h"
 #include "decide/door.h"
 #include "net/event.h"
+#include "net/lingering_closer.h"
 #include "proto/frames.h"
 
 namespace hingelink::net {
@@ -43,7 +44,8 @@
     std::function<void(core::ReplyTo)> check;  // A deep check. Empty: none is told.
     // The counts of a class by its name, or null. Each answer is counted there as it is written.
     std::function<core::ClassCountsPtr(std::string_view kind)> counts;
-    std::function<void(std::uint64_t id)> ended;  // After its last `gone`. May be empty.
+    // Its descriptor is free; after its last `gone`. May be empty.
+    std::function<void(std::uint64_t id)> ended;
     // Whether one more frame may be read. Where it says no, all is left unread until Continue(). May be
     // empty.
     std::function<bool()> may_read;
@@ -100,10 +102,12 @@
 
   // Frees the connections that ended since the last call. Not to be called from within a callback.
   void Sweep();
-  // Ends all connections. Not to be called from within a callback.
-  void Shutdown();
+  // Ends all connections, and waits for the peers to close as well, until then at most. Not to be called from
+  // within a callback.
+  void Shutdown(Steady::time_point until);
 
-  std::size_t size() const { return connections_.size(); }
+  // Those that hold a descriptor: connections that stand, and those that wait for the peer to close.
+  std::size_t size() const { return connections_.size() + lingering_.size(); }
   // One connection as it stands.
   struct Look {
     std::uint64_t id = 0;
@@ -142,6 +146,7 @@
   std::optional<double> signal_;
   Connections connections_;
   std::vector<std::unique_ptr<Connection>> ended_;
+  LingeringCloser lingering_;
   std::vector<std::uint64_t> held_back_;  // With whole frames that `may_read` has left unread.
 };
 
--- a/src/net/gateway/connection.cpp
+++ b/src/net/gateway/connection.cpp
@@ -162,13 +162,20 @@
   return {static_cast<int>(use_), std::chrono::nanoseconds(last_used_.time_since_epoch())};
 }
 
-bool ConnectionSet::Connection::Spare() const {
+bool ConnectionSet::Connection::idle() const {
+  return open_.empty() && checks_.empty() && Unsent(bev_.get()) == 0;
+}
+
+bool ConnectionSet::Connection::Resting() const {
   int unread = 0;
-  if (idle() && use_ == Use::kNone && frame_looks_ >= kRoomLooks) return true;
-  return idle() && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
+  return idle() && skip_ == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
          ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &unread) == 0 && unread == 0;
 }
 
+bool ConnectionSet::Connection::Spare() const {
+  return (idle() && use_ == Use::kNone && frame_looks_ >= kRoomLooks) || Resting();
+}
+
 std::optional<EndReason> ConnectionSet::Connection::Look() {
   if (ending_) return ++fault_looks_ > kFaultLooks ? std::optional(EndReason::kFraming) : std::nullopt;
   const std::size_t unsent = Unsent(bev_.get());
@@ -183,11 +190,12 @@
   return in_frame ? EndReason::kUnfinished : EndReason::kSilent;
 }
 
-void ConnectionSet::Connection::Close(EndReason reason) {
+Descriptor ConnectionSet::Connection::Detach(EndReason reason) {
   bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
   bufferevent_disable(bev_.get(), EV_READ | EV_WRITE);
-  // At once, not when the object is freed: guards the descriptors while many come and go in one round.
-  evutil_closesocket(bufferevent_getfd(bev_.get()));
+  // Taken out here, not closed when the object is freed: guards the descriptors while many come and go in one
+  // round.
+  Descriptor socket(bufferevent_getfd(bev_.get()));
   bufferevent_setfd(bev_.get(), -1);
   if (fault_ != nullptr) {
     log::PeerEvent("connection-end", {{"id", id_},
@@ -204,6 +212,7 @@
   for (const std::uint32_t stream : checks_) set_.events_.gone({id_, stream});
   open_.clear();
   checks_.clear();
+  return socket;
 }
 
 void ConnectionSet::Connection::Read() {
@@ -345,7 +354,7 @@
 
 void ConnectionSet::Connection::Written() {
   if (ending_) {
-    shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
+    set_.End(id_, EndReason::kFraming);
     return;
   }
   if (!reading_paused_) return;
--- a/src/net/gateway/connection.h
+++ b/src/net/gateway/connection.h
@@ -31,23 +31,27 @@
   std::optional<ConnectionSet::Moving> Release();
 
   void TakeOver(ConnectionSet::Moving moving);
-  bool idle() const { return open_.empty() && checks_.empty() && Unsent(bev_.get()) == 0; }
+  bool idle() const;
   bool given_up() const { return given_up_; }
   bool sent() const { return Unsent(bev_.get()) == 0; }
   Steady::time_point last_used() const { return last_used_; }
 
+  // Nothing is open on it, nothing is unsent, and nothing that the peer has sent is left to read, not even a
+  // part of a frame: it can be closed without loss.
+  bool Resting() const;
   // Least first: what is to be ended first to make room.
   decide::Usefulness usefulness() const;
-  // Whether nothing is lost with it: nothing is open, and nothing that it sent lies unread. Also one that has
-  // stood in its first frame for a while: guards against half frames that take all descriptors.
+  // Whether it may be ended to make room: it rests, or has stood in its first frame for a while. Guards
+  // against half frames that take all descriptors.
   bool Spare() const;
 
   // Why it is to be ended by now. Guards against peers that say nothing, stop in the middle of a frame, take
   // no answers, or do not close after a fault.
   std::optional<EndReason> Look();
 
-  // Stops all callbacks and tells of the requests that nobody can be answered any more.
-  void Close(EndReason reason);
+  // Stops all callbacks and tells of the requests that nobody can be answered any more. Gives the socket,
+  // which is still to be closed.
+  Descriptor Detach(EndReason reason);
 
  private:
   // What it has been good for, least first.
--- a/src/net/gateway_front.h
+++ b/src/net/gateway_front.h
@@ -29,7 +29,7 @@
   // What is read is told at once here, so that it is turned away at once.
   void StopReading() override {}
   void Sweep() override { set_.Sweep(); }
-  void Shutdown() override { set_.Shutdown(); }
+  void Shutdown(Steady::time_point until) override { set_.Shutdown(until); }
 
   evutil_socket_t listener() const override { return listener_.fd(); }
   std::uint16_t port() const override { return listener_.port(); }
--- a/src/net/gateway_side.h
+++ b/src/net/gateway_side.h
@@ -44,8 +44,9 @@
   virtual void StopReading() = 0;
   // To be called between two rounds of the node's loop, never from within a callback.
   virtual void Sweep() = 0;
-  // Ends all connections. Not to be called from within a callback.
-  virtual void Shutdown() = 0;
+  // Ends all connections, and waits for the peers to close as well, until then at most. Not to be called from
+  // within a callback.
+  virtual void Shutdown(Steady::time_point until) = 0;
 
   virtual evutil_socket_t listener() const = 0;
   virtual std::uint16_t port() const = 0;
--- /dev/null
+++ b/src/net/lingering_closer.cpp
@@ -0,0 +1,71 @@
+#include "net/lingering_closer.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace hingelink::net {
+namespace {
+
+// Read in one callback, so that a peer that floods leaves the other sockets their turn.
+constexpr std::size_t kBytesAtOnce = 16 * 1024;
+
+}  // namespace
+
+LingeringCloser::LingeringCloser(event_base* base, Closed closed)
+    : base_(base), closed_(std::move(closed)), overdue_(base, [this] { CloseOverdue(); }) {}
+
+void LingeringCloser::Add(std::uint64_t id, Descriptor descriptor) {
+  const bool half_closed = shutdown(descriptor.get(), SHUT_WR) == 0;
+  Socket& socket = sockets_.emplace_back();
+  socket.owner = this;
+  socket.id = id;
+  socket.descriptor = std::move(descriptor);
+  socket.until = Steady::now() + kLingerTime;
+  socket.self = std::prev(sockets_.end());
+  if (half_closed) {
+    socket.readable.reset(event_new(
+        base_, socket.descriptor.get(), EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* self) {
+          auto& readable = *static_cast<Socket*>(self);
+          readable.owner->Drop(readable);
+        },
+        &socket));
+  }
+  // The peer has reset it, or there is no memory to wait for its end.
+  if (!socket.readable || event_add(socket.readable.get(), nullptr) != 0) return Close(socket.self);
+  if (sockets_.size() == 1) overdue_.After(kLingerTime);
+}
+
+bool LingeringCloser::CloseOldest() {
+  if (sockets_.empty()) return false;
+  Close(sockets_.begin());
+  return true;
+}
+
+void LingeringCloser::Drop(Socket& socket) {
+  std::array<char, kBytesAtOnce> dropped;
+  const ssize_t got = recv(socket.descriptor.get(), dropped.data(), dropped.size(), MSG_DONTWAIT);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (got > 0) {
+    socket.dropped_bytes += static_cast<std::size_t>(got);
+    if (socket.dropped_bytes <= kLingerBytes) return;
+  }
+  Close(socket.self);
+}
+
+void LingeringCloser::Close(std::list<Socket>::iterator socket) {
+  const std::uint64_t id = socket->id;
+  sockets_.erase(socket);
+  if (closed_) closed_(id);
+}
+
+void LingeringCloser::CloseOverdue() {
+  const Steady::time_point now = Steady::now();
+  while (!sockets_.empty() && sockets_.front().until <= now) Close(sockets_.begin());
+  if (!sockets_.empty()) overdue_.After(sockets_.front().until - now);
+}
+
+}  // namespace hingelink::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,9 +1,11 @@
 #include "net/listener.h"
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <cerrno>
 #include <cstring>
+#include <iterator>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -18,6 +20,15 @@
 constexpr auto kAgain = 50ms;
 constexpr int kBacklog = 1024;
 
+// The kernel drops every packet to this socket itself, so that no handshake begins or ends on it: whoever
+// comes now is refused once the socket is closed. Where the system does not allow it, a connection may still
+// slip in.
+void RefuseHandshakes(evutil_socket_t listener) {
+  sock_filter drop_all[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
+  const sock_fprog program{std::size(drop_all), drop_all};
+  setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 }  // namespace
 
 Listener::Listener(event_base* base, const sockaddr_in& address, Descriptor handed_over, Accepted accepted)
@@ -58,16 +69,27 @@
   if (listener_) evconnlistener_enable(listener_.get());
 }
 
-void Listener::Stop() {
+void Listener::Stop(const std::function<void()>& before_close) {
   if (!listener_) return;
   // A connection that the kernel has accepted may hold a request already: closing the listener would reset
-  // it and lose the request.
+  // it and lose the request. No further one is accepted from here on, not even between the last look and the
+  // close.
+  RefuseHandshakes(fd());
+  TakeQueued();
+  if (before_close) before_close();
+  listener_.reset();
+}
+
+void Listener::TakeQueued() {
   for (;;) {
     const evutil_socket_t taken = accept4(fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (taken < 0) break;
-    accepted_(taken);
+    if (taken >= 0) {
+      accepted_(taken);
+    } else if (errno != ECONNABORTED && errno != EINTR) {
+      // Those that wait behind a fault of one connection are taken all the same.
+      return;
+    }
   }
-  listener_.reset();
 }
 
 }  // namespace hingelink::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -22,13 +22,16 @@
   // later.
   void Pause();
   void Resume();
-  // Takes in what the kernel has accepted already, and then listens no more.
-  void Stop();
+  // Takes in what the kernel has accepted already, and then listens no more. `before_close` is called in
+  // between; it is there for tests.
+  void Stop(const std::function<void()>& before_close = {});
 
   evutil_socket_t fd() const { return listener_ ? evconnlistener_get_fd(listener_.get()) : -1; }
   std::uint16_t port() const { return LocalPort(fd()); }
 
  private:
+  void TakeQueued();
+
   Accepted accepted_;
   Timer again_;
   ListenerPtr listener_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -102,9 +102,15 @@
   pthread_sigmask(SIG_SETMASK, &before, nullptr);
 }
 
-Loop::~Loop() {
+void Loop::End(Steady::time_point until) {
+  if (std::exchange(told_to_end_, true)) return;
+  end_until_ = until;
   orders_.Put(LoopOrder::kEndAll);
   orders_.Flush();
+}
+
+Loop::~Loop() {
+  End({});
   // Where the queue is full, its end makes the rest fit.
   while (orders_.full()) {
     std::this_thread::sleep_for(1ms);
@@ -147,7 +153,7 @@
     if (closing_) SeeSent();
     told_.Flush();
   }
-  set_.Shutdown();
+  set_.Shutdown(end_until_);
   // libevent closes a freed bufferevent's socket in the next round of its loop.
   event_base_loop(base_.get(), EVLOOP_NONBLOCK);
   told_.Flush();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -119,6 +119,9 @@
   std::uint64_t sent_through() const { return sent_through_.load(std::memory_order_acquire); }
   // Runs on these units of the machine only. False where the system says no.
   bool Bind(const std::vector<unsigned>& units);
+  // Ends the loop and all its connections, and gives their peers until then to close as well. The destructor
+  // waits for it.
+  void End(Steady::time_point until);
   // Has a loop that hangs note where it is. Safe at any moment.
   void AskForStack();
   // The frames it noted since, innermost first; empty where there are none (yet).
@@ -148,6 +151,8 @@
   bool no_reading_ = false;
   bool closing_ = false;
   bool over_ = false;
+  bool told_to_end_ = false;        // Of the node's thread.
+  Steady::time_point end_until_{};  // Written before kEndAll is put, read behind it.
   std::atomic<std::uint64_t> beats_{0};
   std::atomic<std::uint64_t> reading_{0};
   std::atomic<std::uint64_t> sent_through_{0};
--- a/src/net/loop_group.cpp
+++ b/src/net/loop_group.cpp
@@ -55,7 +55,7 @@
   }
 }
 
-LoopGroup::~LoopGroup() { Shutdown(); }
+LoopGroup::~LoopGroup() { Shutdown({}); }
 
 std::vector<std::size_t> LoopGroup::Counts() const {
   std::vector<std::size_t> counts;
@@ -228,7 +228,11 @@
   for (Member& member : members_) member.loop->orders().Flush();
 }
 
-void LoopGroup::Shutdown() {
+void LoopGroup::Shutdown(Steady::time_point until) {
+  // All are told before the first is waited for: they wait for their peers side by side.
+  for (Member& member : members_) {
+    if (!member.hung) member.loop->End(until);
+  }
   for (Member& member : members_) {
     // Guards the end of the process against a thread that may never come back; it takes the thread with it.
     if (member.hung) {
--- a/src/net/loop_group.h
+++ b/src/net/loop_group.h
@@ -50,7 +50,7 @@
   void ClassesChanged() override;
   void StopReading() override;
   void Sweep() override;
-  void Shutdown() override;
+  void Shutdown(Steady::time_point until) override;
 
   evutil_socket_t listener() const override { return listener_.fd(); }
   std::uint16_t port() const override { return listener_.port(); }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,6 +26,8 @@
 // Before the kill: the process ends, whoever is still connected.
 constexpr auto kEnd = 60ms;
 constexpr auto kLastFlush = 20ms;
+// Before the kill: connections whose peers have not closed by then are closed all the same.
+constexpr auto kLastClose = 10ms;
 constexpr auto kDrainLook = 10ms;
 constexpr std::size_t kMostThreads = 64;
 // What a joined part may do in one batch (ours). Beside requests: what a request or two cost, so that news in
@@ -203,7 +205,7 @@
 }
 
 // The front tells the table of each connection that it ends, so it must end them while the table stands.
-Node::~Node() { front_->Shutdown(); }
+Node::~Node() { front_->Shutdown({}); }
 
 void Node::Take(const IncomingRequest& request) {
   if (policy_ && !stopped_) {
@@ -235,8 +237,10 @@
       drain_timer_.After(kDrainLook);
     }
   }
-  // The last answers must be out before the process ends; what is still read is turned away.
+  // The last answers must be out before the process ends; what is still read is turned away, also what has
+  // come by now and lies unread.
   stopped_ = true;
+  event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
   front_->StopReading();
   table_.AnswerAll();
   front_->Sweep();
@@ -246,7 +250,7 @@
     front_->Sweep();
   }
   log::Info("stopped", {{"unanswered", table_.unanswered()}, {"connections", front_->connections()}});
-  front_->Shutdown();
+  front_->Shutdown(kill_at_ - kLastClose);
   // libevent closes a freed bufferevent's socket in the next round of its loop.
   event_base_loop(base_.get(), EVLOOP_NONBLOCK);
 }
