A pool link that dies before it is bound again is given up after 5 s

Seen (by reading): the silence of a link to the worker pool was timed from a poll on, so that a link that was accepted and on which `bound` never came, after the pool had been up before, was waited for without an end; so was a connect that nobody answers. Ruled out: before the first `bound` the wait is as the protocol wants it (the pool may come up long after the node), and stays. Change: PoolLink::Connect starts the time; LoseSilent() passes over it only before the pool was ever up.

--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -16,7 +16,8 @@
 
 constexpr auto kBackoffLeast = 10ms;  // After a try that failed; the first comes at once.
 constexpr auto kBackoffMost = 320ms;
-// A poll that is not answered for so long tells of a link that died without a word.
+// A poll that is not answered for so long tells of a link that died without a word. So does a link that is
+// not connected, or on which no `bound` comes though the pool was up before.
 constexpr auto kSilence = 5s;
 // Gauges older than this tell nothing of the pool's load: four of the module's looks.
 constexpr auto kGaugesGood = 100ms;
@@ -30,7 +31,7 @@
       events_(std::move(events)),
       watch_(std::move(watch)),
       reconnect_(base, [this] { Connect(); }),
-      silence_(base, [this] { Lose("silent"); }),
+      silence_(base, [this] { LoseSilent(); }),
       backoff_(kBackoffLeast) {
   Connect();
 }
@@ -55,6 +56,7 @@
       this);
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+  silence_.After(kSilence);
   Send(bev_.get(), proto::BindLine(last_notice_));
   if (bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_) !=
       0) {
@@ -62,6 +64,12 @@
   }
 }
 
+void PoolLink::LoseSilent() {
+  // The pool may come up long after this process, and says nothing until then.
+  const bool awaits_first_start = connected_ && !ever_bound_;
+  if (!awaits_first_start) Lose("silent");
+}
+
 void PoolLink::Lose(const char* reason) {
   if (!bev_) return;
   // One line for a loss, not for each try to connect while the pool is away.
@@ -122,7 +130,7 @@
   }
   if (const auto* bound = std::get_if<proto::PoolBound>(&message)) {
     log::Info("pool-bound", {{"state", bound->cold ? "cold" : "hot"}});
-    bound_ = true;
+    bound_ = ever_bound_ = true;
     backoff_ = kBackoffLeast;
     events_.bound(bound->cold);
     Ask();
--- a/src/net/pool_link.h
+++ b/src/net/pool_link.h
@@ -39,6 +39,7 @@
  private:
   void Connect();
   void Lose(const char* reason);
+  void LoseSilent();
   void Read();
   bool Take(const proto::PoolMessage& message);
   bool IsNew(std::uint64_t number);
@@ -54,7 +55,8 @@
   Timer silence_;
   Steady::duration backoff_;
   bool connected_ = false;
-  bool bound_ = false;    // On this link.
+  bool bound_ = false;  // On this link.
+  bool ever_bound_ = false;
   bool settled_ = false;  // On this link.
   bool in_remark_ = false;
   std::uint64_t last_notice_ = 0;
