Signals that reach a node while it starts wait until it handles them

Seen (by a test that holds a node in the middle of its start with a named pipe as its configuration): SIGHUP and SIGTERM before the node had set its handlers ended it by their default action. With the listening socket open already, clients in the kernel's queue would have been reset; a new configuration would have ended the process, which is a crash. Change: `serve` blocks SIGHUP, SIGINT and SIGTERM until the node stands. The guard's test held the old command word for word; it holds the new one as strictly.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -6,6 +6,7 @@
 
 #include "cli/commands.h"
 #include "cli/control_of_node.h"
+#include "cli/held_signals.h"
 #include "cli/topology.h"
 #include "decide/cores.h"
 #include "log/log.h"
@@ -38,6 +39,7 @@
 }
 
 void Serve(const ServeOptions& options) {
+  HeldSignals held_signals;
   log::Options log;
   log.json = options.log_format == "json";
   log::ReadLevel(options.log_level, log.level);
@@ -58,6 +60,7 @@
   {
     node::Node node(read(), read, shared != nullptr ? shared : "", options.threads,
                     services ? services->Maker() : node::Node::PoolMaker());
+    held_signals.Release();
     if (options.pin) {
       const decide::PinPlan plan = decide::PlanPins(AllowedUnits(), options.threads);
       log::Info("pin", {{"", plan.why}});
--- a/tests/guard/guard_test.cpp
+++ b/tests/guard/guard_test.cpp
@@ -194,7 +194,7 @@
 }
 
 TEST(Guard, TheDeployFilesCommandKeepsToThePlatformsPage) {
-  EXPECT_EQ(Deploy("run"), "exec build/hingelink serve");
+  EXPECT_EQ(Deploy("run"), "trap '' HUP; exec build/hingelink serve");
   for (const bool shared_folder : {true, false}) {
     const Seen seen = Observe(HINGELINK_GUARDED, {}, shared_folder);
     ExpectQuiet(seen, shared_folder);
