What is wrong with a configuration is told by file, key, value and what is allowed

Seen: messages named a key at most ("configuration: 'stop_ms' is out of range"), the module's check its own field names in place of the file's keys, and none the file. A line break in a name became a further line of settings ("specifics.cpus=99" could come from a class's name). Two tenants of one name were taken, and the second one's requests counted as the first's.

--- a/src/benchlink/settings_parser.cpp
+++ b/src/benchlink/settings_parser.cpp
@@ -40,12 +40,14 @@
     return it == values_.end() ? otherwise : it->second;
   }
 
-  double Number(const std::string& key) const { return ToNumber(key, Must(key)); }
+  double Number(const std::string& key) const { return ToNumber(key, Must(key, "a number")); }
   double Number(const std::string& key, double otherwise) const { return Has(key) ? Number(key) : otherwise; }
 
   int Count(const std::string& key, int most = kMostEntries) const {
-    const double value = Number(key);
-    if (value < 0 || value > most || value != std::floor(value)) Bad(key, Must(key), "a whole number");
+    const std::string wanted = "a whole number from 0 to " + std::to_string(most);
+    const std::string_view text = Must(key, wanted);
+    const double value = ToNumber(key, text);
+    if (value < 0 || value > most || value != std::floor(value)) Bad(key, text, wanted);
     return static_cast<int>(value);
   }
   int Count(const std::string& key, int otherwise, int most) const {
@@ -53,7 +55,7 @@
   }
 
   bool Flag(const std::string& key, bool otherwise) const {
-    return Has(key) ? ToFlag(key, Must(key)) : otherwise;
+    return Has(key) ? ToFlag(key, Text(key, {})) : otherwise;
   }
 
   std::vector<std::string_view> List(const std::string& key) const {
@@ -92,14 +94,14 @@
     return false;
   }
 
-  [[noreturn]] static void Bad(const std::string& key, std::string_view text, const char* wanted) {
+  [[noreturn]] static void Bad(const std::string& key, std::string_view text, const std::string& wanted) {
     throw WireError("settings " + key + "=" + std::string(text.substr(0, 40)) + " is not " + wanted);
   }
 
  private:
-  std::string_view Must(const std::string& key) const {
+  std::string_view Must(const std::string& key, const std::string& wanted) const {
     auto it = values_.find(key);
-    if (it == values_.end()) throw WireError("settings lack " + key);
+    if (it == values_.end()) throw WireError("settings lack " + key + ", which must be " + wanted);
     return it->second;
   }
 
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -1,13 +1,20 @@
 #include "node/config.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <cmath>
+#include <cstring>
 #include <fstream>
+#include <functional>
 #include <iterator>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <string_view>
+#include <utility>
 
+#include "node/settings_keys.h"
 #include "settings_parser.h"
 
 namespace hingelink::node {
@@ -16,8 +23,17 @@
 using Json = nlohmann::json;
 
 constexpr int kLeastSockets = 64;
-
-std::string Scalar(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+constexpr int kMostSockets = std::numeric_limits<int>::max();
+
+// Guards against a text that the settings' lines would take for further lines.
+std::string Scalar(const Json& value, const std::string& path) {
+  if (!value.is_string()) return value.dump();
+  const std::string text = value.get<std::string>();
+  if (text.find_first_of("\r\n") != std::string::npos) {
+    throw ConfigError("settings." + path + " has a line break; it must be a text of one line");
+  }
+  return text;
+}
 
 // Writes nested settings as the path=value lines that the adapter's parser reads.
 void Flatten(const Json& value, const std::string& path, std::string& lines) {
@@ -34,56 +50,128 @@
   }
   lines += path + '=';
   if (value.is_array()) {
-    for (std::size_t i = 0; i < value.size(); ++i) lines += (i > 0 ? "," : "") + Scalar(value[i]);
+    for (std::size_t i = 0; i < value.size(); ++i) lines += (i > 0 ? "," : "") + Scalar(value[i], path);
   } else if (!value.is_null()) {
-    lines += Scalar(value);
+    lines += Scalar(value, path);
   }
   lines += '\n';
 }
 
-const Json& Member(const Json& object, const char* name) {
+// What is shown of a value at fault.
+std::string Shown(const Json& value) {
+  constexpr std::size_t kMostShown = 60;
+  const std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return text.size() <= kMostShown ? text : text.substr(0, kMostShown) + "...";
+}
+
+[[noreturn]] void Reject(const std::string& path, const Json& value, const std::string& allowed) {
+  throw ConfigError(path + " is " + Shown(value) + "; it must be " + allowed);
+}
+
+const Json& Member(const Json& object, const std::string& path, const char* name,
+                   const std::string& allowed) {
   const auto it = object.find(name);
-  if (it == object.end()) throw ConfigError(std::string("configuration lacks '") + name + "'");
+  if (it == object.end()) throw ConfigError(path + name + " is missing; it must be " + allowed);
   return *it;
 }
 
-template <typename T>
-T Get(const Json& object, const char* name) {
-  try {
-    return Member(object, name).get<T>();
-  } catch (const Json::exception&) {
-    throw ConfigError(std::string("configuration: '") + name + "' is of the wrong kind");
+std::string GetText(const Json& object, const char* name) {
+  constexpr char kAllowed[] = "a text";
+  const Json& value = Member(object, "", name, kAllowed);
+  if (!value.is_string()) Reject(name, value, kAllowed);
+  return value.get<std::string>();
+}
+
+// A number within these bounds, both included.
+double GetNumber(const Json& object, const std::string& path, const char* name, double least, double most) {
+  const std::string allowed = "a number from " + Json(least).dump() + " to " + Json(most).dump();
+  const Json& value = Member(object, path, name, allowed);
+  const double number = value.is_number() ? value.get<double>() : std::nan("");
+  if (!(number >= least && number <= most)) Reject(path + name, value, allowed);
+  return number;
+}
+
+const Json& GetObject(const Json& object, const char* name) {
+  constexpr char kAllowed[] = "an object";
+  const Json& value = Member(object, "", name, kAllowed);
+  if (!value.is_object()) Reject(name, value, kAllowed);
+  return value;
+}
+
+// A name that requests carry, unlike the others of its list.
+void CheckName(const Json& item, const std::string& path, std::set<std::string>& taken) {
+  constexpr char kAllowed[] = "a text of 1 to 255 bytes, unlike the names before it";
+  constexpr std::size_t kMostBytes = 255;
+  const Json& name = Member(item, path, "name", kAllowed);
+  const std::string text = name.is_string() ? name.get<std::string>() : std::string();
+  if (text.empty() || text.size() > kMostBytes || !taken.insert(text).second)
+    Reject(path + "name", name, kAllowed);
+}
+
+// The objects of a list, each with its path.
+void ForEachObject(const Json& list, const std::string& path,
+                   const std::function<void(const Json& item, const std::string& path)>& check) {
+  if (!list.is_array()) Reject(path, list, "a list of objects");
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    const std::string at = path + '.' + std::to_string(i);
+    if (!list[i].is_object()) Reject(at, list[i], "an object");
+    check(list[i], at + '.');
   }
 }
 
 // Guards against a deadline that is a number in quotes, which flattened would be read as one, and against
-// classes that no request could name.
-void CheckClasses(const Json& settings) {
+// classes and tenants that no request could name.
+void CheckLists(const Json& settings) {
+  constexpr char kClasses[] = "a list of at least one class";
+  const Json& classes = Member(settings, "settings.", "requestClasses", kClasses);
+  if (!classes.is_array() || classes.empty()) Reject("settings.requestClasses", classes, kClasses);
   std::set<std::string> names;
-  for (const Json& c : Get<std::vector<Json>>(settings, "requestClasses")) {
-    const Json name = c.is_object() ? Member(c, "name") : Json();
-    if (!name.is_string() || name == "" || !names.insert(name).second) {
-      throw ConfigError("configuration: 'name' of a class is empty, taken or no text");
-    }
-    const double deadline = Member(c, "hardLimitMs").is_number() ? Get<double>(c, "hardLimitMs") : 0;
-    if (!(std::isfinite(deadline) && deadline > 0)) {
-      throw ConfigError("configuration: 'hardLimitMs' of a class is no number above 0");
-    }
-  }
+  ForEachObject(classes, "settings.requestClasses", [&names](const Json& item, const std::string& path) {
+    constexpr char kDeadline[] = "a number above 0";
+    CheckName(item, path, names);
+    const Json& deadline = Member(item, path, "hardLimitMs", kDeadline);
+    const double ms = deadline.is_number() ? deadline.get<double>() : 0;
+    if (!(std::isfinite(ms) && ms > 0)) Reject(path + "hardLimitMs", deadline, kDeadline);
+  });
+  const auto tenants = settings.find("tenants");
+  if (tenants == settings.end() || tenants->is_null()) return;
+  std::set<std::string> owners;
+  ForEachObject(*tenants, "settings.tenants",
+                [&owners](const Json& item, const std::string& path) { CheckName(item, path, owners); });
+}
+
+// Puts the module's word on a field, "field: must be ...", in the terms of the file.
+[[noreturn]] void RejectField(const Json& settings, const std::string& word) {
+  const std::size_t colon = word.find(": must ");
+  const std::string key = SettingsKeyOf(word.substr(0, colon));
+  std::string pointer = '/' + key;
+  std::replace(pointer.begin(), pointer.end(), '.', '/');
+  const Json::json_pointer at(pointer);
+  const Json value = settings.contains(at) ? settings.at(at) : Json();
+  throw ConfigError("settings." + key + " is " + Shown(value) + "; it " + word.substr(colon + 2));
 }
 
 bool SameKind(const Json& a, const Json& b) {
   return (a.is_number() && b.is_number()) || a.type() == b.type();
 }
 
+std::string KindName(const Json& value) {
+  return std::string(value.is_number() ? "a number" : value.type_name());
+}
+
 // Guards against a file with a part left out, whose place a default would take: what `running` has must be in
 // `fresh`, too. Lists of objects are matched by name; one of a new name needs what all the running have.
 void CheckKeys(const Json& running, const Json& fresh, const std::string& path) {
-  if (!SameKind(running, fresh)) throw ConfigError("configuration: '" + path + "' is of another kind");
+  if (!SameKind(running, fresh)) {
+    throw ConfigError(path + " is " + Shown(fresh) + "; it must be " + KindName(running) +
+                      ", as in the running one");
+  }
   if (running.is_object()) {
     for (const auto& [name, member] : running.items()) {
       const std::string at = path.empty() ? name : path + '.' + name;
-      if (!fresh.contains(name)) throw ConfigError("configuration lacks '" + at + "'");
+      if (!fresh.contains(name)) {
+        throw ConfigError(at + " is missing; it must be " + KindName(member) + ", as in the running one");
+      }
       CheckKeys(member, fresh[name], at);
     }
   }
@@ -107,43 +195,42 @@
 }  // namespace
 
 Config ParseConfig(const std::string& text) {
+  constexpr double kMostStopMs = 3'600'000;
+  constexpr double kMostMemoryMb = 1 << 20;
+  constexpr double kLeastMemoryMb = 1;
   const Json json = Json::parse(text, nullptr, false);
-  if (!json.is_object()) throw ConfigError("configuration is no JSON object");
+  if (!json.is_object())
+    throw ConfigError("the text is not JSON, or not an object; it must be one JSON object");
   Config config;
-  config.name = Get<std::string>(json, "name");
-  config.listen = Get<std::string>(json, "listen");
-  config.pool = Get<std::string>(json, "pool");
-  config.registry = Get<std::string>(json, "registry");
-  if (json.contains("store")) config.store = Get<std::string>(json, "store");
-  if (json.contains("ops")) config.ops = Get<std::string>(json, "ops");
-  const std::string seed = Get<std::string>(json, "seed");
+  config.name = GetText(json, "name");
+  config.listen = GetText(json, "listen");
+  config.pool = GetText(json, "pool");
+  config.registry = GetText(json, "registry");
+  if (json.contains("store")) config.store = GetText(json, "store");
+  if (json.contains("ops")) config.ops = GetText(json, "ops");
+  const std::string seed = GetText(json, "seed");
   const auto [end, fault] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (fault != std::errc() || end != seed.data() + seed.size()) {
-    throw ConfigError("configuration: 'seed' is no hexadecimal number of 64 bits");
+    Reject("seed", seed, "a hexadecimal number of at most 64 bits");
   }
-  const double stop = Get<double>(json, "stop_ms");
-  if (!(stop >= 0 && stop <= 3'600'000)) throw ConfigError("configuration: 'stop_ms' is out of range");
-  config.stop = std::chrono::milliseconds(static_cast<std::int64_t>(stop));
-  config.sockets = Get<int>(Get<Json>(json, "limits"), "sockets");
-  if (config.sockets < kLeastSockets) {
-    throw ConfigError("configuration: 'sockets' is under " + std::to_string(kLeastSockets));
+  config.stop =
+      std::chrono::milliseconds(static_cast<std::int64_t>(GetNumber(json, "", "stop_ms", 0, kMostStopMs)));
+  const Json& limits = GetObject(json, "limits");
+  config.sockets = static_cast<int>(GetNumber(limits, "limits.", "sockets", kLeastSockets, kMostSockets));
+  if (limits.contains("memory_mb")) {
+    config.memory_mb = GetNumber(limits, "limits.", "memory_mb", kLeastMemoryMb, kMostMemoryMb);
   }
-  if (const Json limits = Get<Json>(json, "limits"); limits.contains("memory_mb")) {
-    config.memory_mb = Get<double>(limits, "memory_mb");
-    if (!(config.memory_mb > 0)) throw ConfigError("configuration: 'memory_mb' is no number above 0");
-  }
-  const Json settings = Get<Json>(json, "settings");
-  if (!settings.is_object()) throw ConfigError("configuration: 'settings' is no object");
-  CheckClasses(settings);
+  const Json& settings = GetObject(json, "settings");
+  CheckLists(settings);
   std::string lines;
   Flatten(settings, "", lines);
   try {
     config.settings = hingelink::benchlink::ParseSettings(lines);
   } catch (const std::exception& wrong) {
-    throw ConfigError(std::string("configuration: ") + wrong.what());
+    throw ConfigError(wrong.what());
   }
   const std::string wrong = config.settings.Validate();
-  if (!wrong.empty()) throw ConfigError("configuration: settings: " + wrong);
+  if (!wrong.empty()) RejectField(settings, wrong);
   config.text = text;
   return config;
 }
@@ -154,8 +241,12 @@
 
 Config ReadConfig(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  if (!file) throw ConfigError("configuration '" + path + "' cannot be read");
-  return ParseConfig(std::string(std::istreambuf_iterator<char>(file), {}));
+  if (!file) throw ConfigError("configuration '" + path + "' cannot be read: " + std::strerror(errno));
+  try {
+    return ParseConfig(std::string(std::istreambuf_iterator<char>(file), {}));
+  } catch (const ConfigError& fault) {
+    throw ConfigError("configuration '" + path + "': " + fault.what());
+  }
 }
 
 }  // namespace hingelink::node
--- /dev/null
+++ b/tests/node/config_test.cpp
@@ -0,0 +1,207 @@
+// The node's configuration: what is wrong with a file is told by file, key, value and what is allowed, for
+// each key that it needs, and nothing of one deployment's settings is left where another's are read.
+#include "node/config.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cli/process.h"
+
+namespace hingelink::node {
+namespace {
+
+using Json = nlohmann::json;
+
+Json Good() {
+  return Json::parse(
+      R"({"name":"n3","listen":"127.0.0.1:0","pool":"127.0.0.1:9300","registry":"127.0.0.1:8761",
+    "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":64,"sockets":512},
+    "settings":{"requestClasses":[
+      {"name":"read","goalTimeMs":500.0,"hardLimitMs":1500.0,"repeat":"safe","worth":1.0},
+      {"name":"write","goalTimeMs":500.0,"hardLimitMs":900.0,"repeat":"keyed","windowMs":2000.0,"worth":5.0}],
+     "tenants":[{"name":"one","portion":0.5,"quotaRps":10.0},{"name":"two","portion":0.5,"quotaRps":10.0}],
+     "quantumMs":4.0,"rules":{"fallMultiple":8.0},
+     "specifics":{"cpus":2,"memoryKb":1000.0,"runFactor":4.0}}})");
+}
+
+// What is said of a file, or nothing where it is good.
+std::string FaultOf(const Json& json) {
+  try {
+    ParseConfig(json.dump());
+    return {};
+  } catch (const ConfigError& fault) {
+    return fault.what();
+  }
+}
+
+std::string Dotted(const std::string& pointer) {
+  std::string path = pointer.substr(1);
+  for (char& c : path) c = c == '/' ? '.' : c;
+  return path;
+}
+
+TEST(ConfigTest, AGoodFileIsTaken) {
+  EXPECT_EQ(FaultOf(Good()), "");
+  const Config config = ParseConfig(Good().dump());
+  ASSERT_EQ(config.settings.classes.size(), 2u);
+  EXPECT_EQ(config.settings.classes[1].name, "write");
+  EXPECT_EQ(config.settings.classes[1].window_ms, 2000);
+}
+
+// Each value that has no default: its key is named, with what is allowed there.
+TEST(ConfigTest, EachNeededValueThatIsMissingIsNamed) {
+  for (const char* pointer :
+       {"/name", "/listen", "/pool", "/registry", "/seed", "/stop_ms", "/limits", "/limits/sockets",
+        "/settings", "/settings/requestClasses", "/settings/requestClasses/0/name",
+        "/settings/requestClasses/1/hardLimitMs", "/settings/tenants/0/name"}) {
+    Json json = Good();
+    const Json::json_pointer at(pointer);
+    json.at(at.parent_pointer()).erase(at.back());
+    EXPECT_EQ(FaultOf(json).find(Dotted(pointer) + " is missing; it must be a"), 0u)
+        << pointer << ": " << FaultOf(json);
+  }
+  for (const char* pointer : {"/quantumMs", "/rules/fallMultiple", "/specifics/cpus", "/specifics/memoryKb",
+                              "/specifics/runFactor"}) {
+    Json json = Good();
+    const Json::json_pointer at("/settings" + std::string(pointer));
+    json.at(at.parent_pointer()).erase(at.back());
+    EXPECT_EQ(FaultOf(json).find("settings lack " + Dotted(pointer) + ", which must be a"), 0u)
+        << FaultOf(json);
+  }
+}
+
+// A value out of its bounds or of another kind: key, value and bounds are named.
+TEST(ConfigTest, EachValueThatCannotBeIsNamedWithWhatIsAllowed) {
+  const struct {
+    const char* pointer;
+    Json value;
+    const char* wanted;
+  } kCases[] = {
+      {"/name", 7, "name is 7; it must be a text"},
+      {"/seed", "xyz", "seed is \"xyz\"; it must be a hexadecimal number of at most 64 bits"},
+      {"/stop_ms", -1, "stop_ms is -1; it must be a number from 0"},
+      {"/stop_ms", "3200", "stop_ms is \"3200\"; it must be a number from 0"},
+      {"/limits", 5, "limits is 5; it must be an object"},
+      {"/limits/sockets", 63, "limits.sockets is 63; it must be a number from 64"},
+      {"/limits/memory_mb", 0, "limits.memory_mb is 0; it must be a number from 1"},
+      {"/settings", Json::array(), "settings is []; it must be an object"},
+      {"/settings/requestClasses", Json::array(),
+       "settings.requestClasses is []; it must be a list of at least one"},
+      {"/settings/requestClasses/0", 3, "settings.requestClasses.0 is 3; it must be an object"},
+      {"/settings/requestClasses/1/name", "read", "settings.requestClasses.1.name is \"read\"; it must be"},
+      {"/settings/requestClasses/1/name", "", "settings.requestClasses.1.name is \"\"; it must be"},
+      {"/settings/requestClasses/1/name", "a\nspecifics.cpus=99",
+       "settings.requestClasses.1.name has a line break; it must be a text of one line"},
+      {"/settings/requestClasses/1/hardLimitMs", 0,
+       "settings.requestClasses.1.hardLimitMs is 0; it must be a number"},
+      {"/settings/requestClasses/1/hardLimitMs", "900",
+       "settings.requestClasses.1.hardLimitMs is \"900\"; it must"},
+      {"/settings/requestClasses/0/repeat", "maybe",
+       "settings requestClasses.0.repeat=maybe is not safe, keyed or"},
+      {"/settings/requestClasses/0/worth", -2,
+       "settings.requestClasses.0.worth is -2; it must be a number, not neg"},
+      {"/settings/requestClasses/1/windowMs", -1,
+       "settings.requestClasses.1.windowMs is -1; it must be a number"},
+      {"/settings/tenants/1/name", "one", "settings.tenants.1.name is \"one\"; it must be"},
+      {"/settings/tenants/1/quotaRps", -1,
+       "settings.tenants.1.quotaRps is -1; it must be a number, not negative"},
+      {"/settings/tenants/1/name", "a\nb",
+       "settings.tenants.1.name has a line break; it must be a text of one line"},
+      {"/settings/quantumMs", 0, "settings.quantumMs is 0; it must be above 0"},
+      {"/settings/rules/fallMultiple", 0.5, "settings.rules.fallMultiple is 0.5; it must be at least 1"},
+      {"/settings/specifics/cpus", 0, "settings.specifics.cpus is 0; it must be at least 1"},
+      {"/settings/specifics/cpus", 1.5, "settings specifics.cpus=1.5 is not a whole number from 0 to"},
+      {"/settings/specifics/memoryKb", "many", "settings specifics.memoryKb=many is not a number"},
+      {"/settings/specifics/runFactor", 0.1, "settings.specifics.runFactor is 0.1; it must be at least 1"},
+  };
+  for (const auto& wrong : kCases) {
+    Json json = Good();
+    json.at(Json::json_pointer(wrong.pointer)) = wrong.value;
+    EXPECT_EQ(FaultOf(json).find(wrong.wanted), 0u) << wrong.wanted << "\n  but: " << FaultOf(json);
+  }
+  Json calls = Good();
+  calls["settings"]["specifics"]["classCalls"] = {true};
+  EXPECT_EQ(FaultOf(calls), "settings specifics.classCalls has 1 values for 2 classes");
+}
+
+TEST(ConfigTest, TheFileIsNamed) {
+  const cli::TemporaryFolder folder;
+  const std::string path = folder.path() + "/node.json";
+  const auto fault_of_file = [&path] {
+    try {
+      ReadConfig(path);
+      return std::string();
+    } catch (const ConfigError& fault) {
+      return std::string(fault.what());
+    }
+  };
+  EXPECT_EQ(fault_of_file(), "configuration '" + path + "' cannot be read: No such file or directory");
+  std::ofstream(path) << Good().dump().substr(0, 100);
+  EXPECT_EQ(fault_of_file(), "configuration '" + path +
+                                 "': the text is not JSON, or not an object; it must be one JSON object");
+  std::ofstream(path) << Good().dump();
+  EXPECT_EQ(fault_of_file(), "");
+}
+
+// At a reload a part that was left out is named, and so is one of another kind.
+TEST(ConfigTest, AReloadNamesWhatTheRunningFileHas) {
+  const auto fault_against_running = [](const Json& fresh) {
+    try {
+      ParseConfig(fresh.dump()).CheckAgainst(ParseConfig(Good().dump()));
+      return std::string();
+    } catch (const ConfigError& fault) {
+      return std::string(fault.what());
+    }
+  };
+  EXPECT_EQ(fault_against_running(Good()), "");
+  Json without = Good();
+  without["settings"]["requestClasses"][0].erase("worth");
+  EXPECT_EQ(fault_against_running(without),
+            "settings.requestClasses.0.worth is missing; it must be a number, as in the running one");
+  Json other = Good();
+  other["limits"]["cores"] = "1";
+  EXPECT_EQ(fault_against_running(other),
+            "limits.cores is \"1\"; it must be a number, as in the running one");
+}
+
+// Settings with one class, with many classes and tenants, and with other names: what is read is theirs alone.
+TEST(ConfigTest, NothingOfOtherSettingsIsLeft) {
+  Json one = Good();
+  one["settings"]["requestClasses"] =
+      Json::array({{{"name", "only"}, {"hardLimitMs", 250.0}, {"repeat", "unsafe"}}});
+  one["settings"]["tenants"] = Json::array();
+  Json many = Good();
+  many["settings"]["requestClasses"] = Json::array();
+  many["settings"]["tenants"] = Json::array();
+  for (int i = 0; i < 300; ++i) {
+    many["settings"]["requestClasses"].push_back({{"name", "class-" + std::to_string(i)},
+                                                  {"hardLimitMs", 100.0 + i},
+                                                  {"repeat", "safe"},
+                                                  {"worth", i}});
+    many["settings"]["tenants"].push_back(
+        {{"name", "tenant " + std::to_string(i)}, {"portion", i}, {"quotaRps", i}});
+  }
+  for (int round = 0; round < 2; ++round) {
+    const Config few = ParseConfig(one.dump());
+    ASSERT_EQ(few.settings.classes.size(), 1u);
+    EXPECT_EQ(few.settings.classes[0].deadline_ms, 250);
+    EXPECT_EQ(few.settings.classes[0].aim_ms, 250);
+    EXPECT_EQ(few.settings.classes[0].repeat, hingelink::Repeat::kUnsafe);
+    EXPECT_TRUE(few.settings.tenants.empty());
+    const Config all = ParseConfig(many.dump());
+    ASSERT_EQ(all.settings.classes.size(), 300u);
+    EXPECT_EQ(all.settings.classes[299].deadline_ms, 399);
+    ASSERT_EQ(all.settings.tenants.size(), 300u);
+    EXPECT_EQ(all.settings.tenants[299].name, "tenant 299");
+  }
+}
+
+}  // namespace
+}  // namespace hingelink::node
