Keyed tries that wait for a predecessor are answered in time and outlive a reload

Seen (by reading): while a predecessor has not told its keys, keyed tries are kept back for up to 1 s. Where the class's deadline or the caller's wait is shorter, the answer came late. And a new configuration in that second left them with the places of their class and tenant in the old settings: decided as another's, or out of range. Change: RequestTable::TakeEvents fails them 20 ms before they are due (failed, as the predecessor may have run them), and Retune() places them anew by name, or fails them where class or tenant is gone.

--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kRecent = 8192;
 // A budget of 0 means 'not told' to the module; a wait that is over is told as this.
 constexpr Millis kLeastBudget{0.001};
+// From the answer to a try that could not be told to the module in time, to its due time.
+constexpr Millis kAnswerLead{20};
 // Advice to those whose keys cannot be known for now: about as long as a predecessor that hangs is waited
 // for.
 constexpr auto kKeysUnknown = std::chrono::seconds(1);
@@ -52,10 +54,36 @@
     fresh.emplace(cls->name, cls);
   }
   classes_ = std::move(fresh);
-  tenants_.clear();
+  const TenantPlaces before = std::exchange(tenants_, {});
   for (const hingelink::Tenant& tenant : settings_.tenants) {
     tenants_.emplace(tenant.name, static_cast<std::uint16_t>(tenants_.size()));
   }
+  PlaceKeptBackAnew(before);
+}
+
+// Those that the module has not been told of name class and tenant by their places in the settings that held
+// when they came. Guards against a request that is decided as one of another class or tenant.
+void RequestTable::PlaceKeptBackAnew(const TenantPlaces& before) {
+  std::erase_if(kept_back_, [this, &before](auto& kept) {
+    hingelink::Arrival& arrival = kept.first;
+    const auto it = entries_.find(arrival.id);
+    if (it == entries_.end()) return true;  // Its caller has left.
+    const auto cls = classes_.find(it->second.cls->name);
+    const auto owner = std::find_if(before.begin(), before.end(), [&arrival](const auto& tenant) {
+      return tenant.second == arrival.tenant;
+    });
+    const auto tenant = owner == before.end() ? tenants_.end() : tenants_.find(owner->first);
+    const bool has_tenant = tenants_.empty() || tenant != tenants_.end();
+    if (cls != classes_.end() && has_tenant) {
+      arrival.request_class = cls->second->place;
+      arrival.tenant = tenants_.empty() ? std::uint16_t{0} : tenant->second;
+      return false;
+    }
+    // Its class or tenant is gone, and the predecessor may have run it.
+    Answer(it, Failed());
+    Leave(it);
+    return true;
+  });
 }
 
 void RequestTable::Take(const IncomingRequest& request) {
@@ -116,7 +144,26 @@
   arrivals_.push_back({request.arrived, request.arrived + timeout});
 }
 
+// Guards against a try that waits for the word of a predecessor for longer than its caller waits for an
+// answer.
+void RequestTable::AnswerOverdueKeptBack(UnixTime now) {
+  std::erase_if(kept_back_, [this, now](const auto& kept) {
+    const auto& [arrival, times] = kept;
+    const auto it = entries_.find(arrival.id);
+    if (it == entries_.end()) return true;  // Its caller has left.
+    const Millis limit = settings_.tells_deadline
+                             ? Millis(times.due - times.arrived)
+                             : Millis(settings_.classes[arrival.request_class].deadline_ms);
+    if (Millis(now - times.arrived) + kAnswerLead < limit) return false;
+    // The predecessor may have run it.
+    Answer(it, Failed());
+    Leave(it);
+    return true;
+  });
+}
+
 std::vector<hingelink::Event> RequestTable::TakeEvents(UnixTime now) {
+  AnswerOverdueKeptBack(now);
   auto clocked = arrivals_.begin();
   std::erase_if(events_, [&](hingelink::Event& event) {
     auto* arrival = std::get_if<hingelink::Arrival>(&event);
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -144,6 +144,8 @@
     std::size_t operator()(const ReplyTo& to) const { return absl::HashOf(to.connection, to.stream); }
   };
 
+  using TenantPlaces = std::unordered_map<std::string, std::uint16_t>;  // Places in the settings, by name.
+
   void Answer(Entries::iterator it, const FinalAnswer& answer);
   void Leave(Entries::iterator it);
   void SendSpawn(Entry& entry);
@@ -152,6 +154,8 @@
   FinalAnswer NotRun(const Entry& entry) const;
   // Names what an arrival repeats. False where it has been answered instead.
   bool NameForerunner(hingelink::RequestId id, hingelink::Arrival& arrival, UnixTime arrived, UnixTime now);
+  void AnswerOverdueKeptBack(UnixTime now);
+  void PlaceKeptBackAnew(const TenantPlaces& before);
   bool AnswerReplay(hingelink::RequestId id);
   void AnswerRepeats(const OperationKey& key);
   // How long past its time a try may still be read.
@@ -172,7 +176,7 @@
   KeyTable keys_;
   KeyChanged key_changed_;
   Calls calls_;
-  std::unordered_map<std::string, std::uint16_t> tenants_;  // Places in the settings.
+  TenantPlaces tenants_;
   Others others_ = Others::kKnown;
   std::deque<std::uint64_t> recent_order_;  // Tries that have ended, oldest first.
   absl::flat_hash_set<std::uint64_t> recent_;
