Tests listed in KNOWN-RED.txt are run, printed and passed over; any other failure fails the run

tests/run_tests.sh runs ctest and compares what failed with the list. A fourth line, a line without test, cause and issue, or a test that no build has fails the run.

--- /dev/null
+++ b/tests/run_tests_test.sh
@@ -0,0 +1,56 @@
+#!/bin/sh
+# The runner's handling of KNOWN-RED.txt, on a build of a few tests made for it.
+set -eu
+runner=$1
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+mkdir "$work/build" "$work/empty"
+cat >"$work/build/CTestTestfile.cmake" <<'TESTS'
+add_test(good "true")
+add_test(red "false")
+add_test(Suite.AlsoRed "false")
+TESTS
+: >"$work/empty/CTestTestfile.cmake"
+
+# expect STATUS TEXT ARGUMENT...: the runner ends so and prints that.
+expect() {
+  wanted=$1 text=$2
+  shift 2
+  status=0
+  sh "$runner" "$@" >"$work/out" 2>&1 || status=$?
+  if [ "$status" != "$wanted" ] || ! grep -Fq -- "$text" "$work/out"; then
+    echo "run_tests $*: status $status, wanted $wanted and '$text'"
+    cat "$work/out"
+    exit 1
+  fi
+}
+list="$work/KNOWN-RED.txt"
+
+# Nothing is listed: any failure fails the run, a run without one passes, also without a list.
+: >"$list"
+expect 1 "failed in $work/build and not in $list: red Suite.AlsoRed" "$list" "$work/build"
+expect 0 "100% tests passed" "$list" "$work/build" -R good
+expect 0 "100% tests passed" "$work/none" "$work/build" -R good
+# Listed ones are run, printed and passed over; the others are not.
+printf '# a comment\n\nred, the cause, issue 31\nSuite.AlsoRed, another cause, issue 31\n' >"$list"
+expect 0 "red, the cause, issue 31" "$list" "$work/build"
+expect 0 "Suite.AlsoRed, another cause" "$list" "$work/build"
+printf 'red, the cause, issue 31\n' >"$list"
+expect 1 "not in $list: Suite.AlsoRed" "$list" "$work/build"
+# A name is no pattern, and no part of another.
+printf 'Suite.AlsoRe., the cause, issue 31\nre, the cause, issue 31\n' >"$list"
+expect 1 "not in $list: red Suite.AlsoRed" "$list" "$work/build"
+# A fourth line, a line without its parts, a test that no build has.
+printf 'a, b, c\nd, e, f\ng, h, i\nj, k, l\n' >"$list"
+expect 1 "has 4 lines; at most 3 are allowed" "$list" "$work/build" -R good
+expect 1 "has 4 lines; at most 3 are allowed" --check-list "$list" "$work/build"
+for line in 'red' 'red, the cause' 'red, , issue 31' 'red, the cause, '; do
+  printf '%s\n' "$line" >"$list"
+  expect 1 "is not of the form TEST, CAUSE, ISSUE" "$list" "$work/build" -R good
+done
+printf 'red, the cause, issue 31\nno.such, the cause, issue 31\n' >"$list"
+expect 1 "there is no test 'no.such'" --check-list "$list" "$work/empty" "$work/build"
+printf 'red, the cause, issue 31\n' >"$list"
+expect 0 "1 listed" --check-list "$list" "$work/empty" "$work/build"
+expect 1 "there is no test 'red'" --check-list "$list" "$work/empty"
+echo "run_tests_test: ok"
