--- a/src/net/connection_set.cpp
+++ b/src/net/connection_set.cpp
@@ -91,14 +91,16 @@
 }
 
 ConnectionSet::Connections::const_iterator ConnectionSet::FindLeastUseful() const {
-  auto least = connections_.end();
-  for (auto it = connections_.begin(); it != connections_.end(); ++it) {
-    if ((least == connections_.end() || it->second->usefulness() < least->second->usefulness()) &&
-        it->second->Spare()) {
-      least = it;
+  for (;;) {
+    auto least = connections_.end();
+    for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+      const bool less = least == connections_.end() || it->second->usefulness() < least->second->usefulness();
+      if (less && it->second->MayBeSpare()) least = it;
     }
+    // Only the least useful one is asked for bytes unread; where it has some, it is passed over from now on.
+    if (least == connections_.end() || least->second->Spare()) return least;
+    if (least->second->MayBeSpare()) return connections_.end();
   }
-  return least;
 }
 
 std::optional<decide::Usefulness> ConnectionSet::LeastUseful() const {
--- a/src/net/event.cpp
+++ b/src/net/event.cpp
@@ -11,12 +11,20 @@
 
 namespace hingelink::net {
 
+namespace {
+
+constexpr int kOrdinaryAtOnce = 64;
+
+}  // namespace
+
 BasePtr MakeBase() {
   const std::unique_ptr<event_config, decltype(&event_config_free)> config(event_config_new(),
                                                                            &event_config_free);
   if (!config) throw std::runtime_error("libevent: no memory for a configuration");
   event_config_set_flag(config.get(), EVENT_BASE_FLAG_NO_CACHE_TIME);
   event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+  // Guards what is urgent against a flood: after so many ordinary callbacks it is looked for again.
+  event_config_set_max_dispatch_interval(config.get(), nullptr, kOrdinaryAtOnce, kOrdinary);
   BasePtr base(event_base_new_with_config(config.get()));
   if (!base) throw std::runtime_error("libevent: no event base");
   // New events take the middle one, which is the ordinary one.
@@ -30,11 +38,12 @@
   return {static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
 }
 
-Timer::Timer(event_base* base, std::function<void()> fire)
+Timer::Timer(event_base* base, std::function<void()> fire, int priority)
     : fire_(std::move(fire)),
       event_(evtimer_new(
           base, [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire_(); }, this)) {
   if (!event_) throw std::runtime_error("libevent: no timer");
+  event_priority_set(event_.get(), priority);
 }
 
 void Timer::After(Steady::duration span) {
--- a/src/net/event.h
+++ b/src/net/event.h
@@ -64,7 +64,7 @@
 // Fires once, `span` after the last After().
 class Timer {
  public:
-  Timer(event_base* base, std::function<void()> fire);
+  Timer(event_base* base, std::function<void()> fire, int priority = kOrdinary);
   void After(Steady::duration span);
   void Stop();
 
--- a/src/net/gateway/connection.cpp
+++ b/src/net/gateway/connection.cpp
@@ -166,16 +166,29 @@
   return open_.empty() && checks_.empty() && Unsent(bev_.get()) == 0;
 }
 
+bool ConnectionSet::Connection::BetweenFrames() const {
+  return idle() && skip_ == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0;
+}
+
 bool ConnectionSet::Connection::Resting() const {
+  if (known_unread_ || !BetweenFrames()) return false;
   int unread = 0;
-  return idle() && skip_ == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
-         ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &unread) == 0 && unread == 0;
+  if (ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &unread) != 0) return false;
+  // Guards the core against a flood: of each connection it is asked at most once between two reads.
+  known_unread_ = unread > 0;
+  return !known_unread_;
 }
 
-bool ConnectionSet::Connection::Spare() const {
-  return (idle() && use_ == Use::kNone && frame_looks_ >= kRoomLooks) || Resting();
+bool ConnectionSet::Connection::StuckInFirstFrame() const {
+  return use_ == Use::kNone && frame_looks_ >= kRoomLooks && idle();
 }
 
+bool ConnectionSet::Connection::MayBeSpare() const {
+  return StuckInFirstFrame() || (!known_unread_ && BetweenFrames());
+}
+
+bool ConnectionSet::Connection::Spare() const { return StuckInFirstFrame() || Resting(); }
+
 std::optional<EndReason> ConnectionSet::Connection::Look() {
   if (ending_) return ++fault_looks_ > kFaultLooks ? std::optional(EndReason::kFraming) : std::nullopt;
   const std::size_t unsent = Unsent(bev_.get());
@@ -216,6 +229,7 @@
 }
 
 void ConnectionSet::Connection::Read() {
+  known_unread_ = false;
   if (ending_) {
     LetGo();
     return;
--- a/src/net/gateway/connection.h
+++ b/src/net/gateway/connection.h
@@ -44,6 +44,8 @@
   // Whether it may be ended to make room: it rests, or has stood in its first frame for a while. Guards
   // against half frames that take all descriptors.
   bool Spare() const;
+  // Whether it may be, as far as that is known without a system call; where it says no, Spare() does.
+  bool MayBeSpare() const;
 
   // Why it is to be ended by now. Guards against peers that say nothing, stop in the middle of a frame, take
   // no answers, or do not close after a fault.
@@ -56,6 +58,9 @@
  private:
   // What it has been good for, least first.
   enum class Use { kNone, kFrames, kServed };
+  // No part of a frame has been read.
+  bool BetweenFrames() const;
+  bool StuckInFirstFrame() const;
   void Read();
 
   void Take(const proto::FrameHead& head, std::string_view payload, bool too_long);
@@ -93,6 +98,7 @@
   const char* fault_ = nullptr;
   bool ending_ = false;
   bool reading_paused_ = false;
+  mutable bool known_unread_ = false;  // Bytes lie unread in the kernel; stays so until Read().
   bool held_back_ = false;
   bool given_up_ = false;
   bool asked_for_no_more_ = false;
--- a/src/net/gateway_front.cpp
+++ b/src/net/gateway_front.cpp
@@ -28,32 +28,47 @@
       room_(base, [this] { AwaitRoom(); }) {}
 
 void GatewayFront::Accept(evutil_socket_t fd) {
-  const std::uint64_t id = ++last_id_;
+  Descriptor accepted(fd);
   // Guards the descriptors that the pool link and the registry need.
-  if (set_.size() >= most_connections_ && !set_.MakeRoom()) {
-    evutil_closesocket(fd);
-    log::PeerEvent("connection-end",
-                   {{"id", id}, {"reason", ReasonCode(EndReason::kAtLimit)}, {"requests", 0}, {"open", 0}});
-    return;
-  }
-  set_.Add(id, fd);
-  if (shared_ && set_.size() >= most_connections_) {
-    listener_.Pause();
-    awaiting_room_ = true;
-    room_.After(kRoomLook);
+  if (set_.size() < most_connections_ || set_.MakeRoom()) {
+    set_.Add(++last_id_, accepted.release());
+    if (shared_ && set_.size() >= most_connections_) Rest();
+  } else if (!stopping_) {
+    pending_ = std::move(accepted);
+    Rest();
+  } else {
+    log::PeerEvent(
+        "connection-end",
+        {{"id", ++last_id_}, {"reason", ReasonCode(EndReason::kAtLimit)}, {"requests", 0}, {"open", 0}});
   }
 }
 
-// Guards clients that come while a predecessor still holds most descriptors: they wait in the queue for a
-// moment, where they would be turned away at the limit.
+void GatewayFront::Rest() {
+  listener_.Pause();
+  awaiting_room_ = true;
+  room_.After(kRoomLook);
+}
+
+// Guards clients that come while all connections have something open, or a predecessor still holds most
+// descriptors: one waits here and the others in the kernel's queue, where they would be closed with what they
+// have sent unread.
 void GatewayFront::AwaitRoom() {
   if (!awaiting_room_) return;
-  awaiting_room_ = shared_ && set_.size() >= most_connections_ && !set_.MakeRoom();
+  const bool full = set_.size() >= most_connections_;
+  awaiting_room_ = full && (shared_ || pending_.get() >= 0) && !set_.MakeRoom();
   if (awaiting_room_) {
     room_.After(kRoomLook);
-  } else if (!paused_) {
-    listener_.Resume();
+    return;
   }
+  if (!paused_) listener_.Resume();
+  if (pending_.get() >= 0) Accept(pending_.release());
+}
+
+void GatewayFront::StopListening() {
+  // Nobody comes behind it any more: it takes a descriptor of the reserve.
+  if (pending_.get() >= 0) set_.Add(++last_id_, pending_.release());
+  stopping_ = true;
+  listener_.Stop();
 }
 
 void GatewayFront::SetMostConnections(std::size_t most, bool shared) {
--- a/src/net/gateway_front.h
+++ b/src/net/gateway_front.h
@@ -24,7 +24,7 @@
   void PauseListening() override;
   void ResumeListening() override;
   void CloseQuiet() override { set_.CloseQuiet(); }
-  void StopListening() override { listener_.Stop(); }
+  void StopListening() override;
   void ClassesChanged() override {}
   // What is read is told at once here, so that it is turned away at once.
   void StopReading() override {}
@@ -33,7 +33,7 @@
 
   evutil_socket_t listener() const override { return listener_.fd(); }
   std::uint16_t port() const override { return listener_.port(); }
-  std::size_t connections() const override { return set_.size(); }
+  std::size_t connections() const override { return set_.size() + (pending_.get() >= 0 ? 1 : 0); }
   std::vector<ConnectionSet::Look> LookAt(std::size_t most) const override { return set_.LookAt(most); }
   bool AllSent() const override { return set_.AllSent(); }
   std::vector<LoopLook> Loops() const override { return {}; }
@@ -41,6 +41,8 @@
 
  private:
   void Accept(evutil_socket_t fd);
+  // Accepts no more until there is room again.
+  void Rest();
   void AwaitRoom();
 
   ConnectionSet set_;
@@ -50,6 +52,8 @@
   bool paused_ = false;
   bool shared_ = false;
   bool awaiting_room_ = false;
+  bool stopping_ = false;
+  Descriptor pending_;  // Accepted at the limit, without room; unread.
   std::uint64_t last_id_ = 0;
 };
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -19,6 +19,9 @@
 
 constexpr auto kAgain = 50ms;
 constexpr int kBacklog = 1024;
+// Connections accepted before the others, which may have sent something by now, have their turn. Guards
+// against a flood that fills the descriptors with connections of which none has been read yet.
+constexpr int kAcceptedAtOnce = 16;
 
 // The kernel drops every packet to this socket itself, so that no handshake begins or ends on it: whoever
 // comes now is refused once the socket is closed. Where the system does not allow it, a connection may still
@@ -36,7 +39,7 @@
         if (listener_ && !paused_) evconnlistener_enable(listener_.get());
       }) {
   const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-    static_cast<Listener*>(self)->accepted_(fd);
+    static_cast<Listener*>(self)->Accept(fd);
   };
   constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
   if (handed_over.get() >= 0) {
@@ -59,6 +62,14 @@
   });
 }
 
+void Listener::Accept(evutil_socket_t fd) {
+  accepted_(fd);
+  if (paused_ || ++accepted_at_once_ < kAcceptedAtOnce) return;
+  accepted_at_once_ = 0;
+  evconnlistener_disable(listener_.get());
+  again_.After(0ms);
+}
+
 void Listener::Pause() {
   paused_ = true;
   if (listener_) evconnlistener_disable(listener_.get());
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -30,12 +30,14 @@
   std::uint16_t port() const { return LocalPort(fd()); }
 
  private:
+  void Accept(evutil_socket_t fd);
   void TakeQueued();
 
   Accepted accepted_;
   Timer again_;
   ListenerPtr listener_;
   bool paused_ = false;
+  int accepted_at_once_ = 0;
 };
 
 }  // namespace hingelink::net
--- a/src/net/pool_link.cpp
+++ b/src/net/pool_link.cpp
@@ -54,6 +54,8 @@
         }
       },
       this);
+  // Guards against an answer that counts as overdue because gateways flood the loop.
+  bufferevent_priority_set(bev_.get(), kUrgent);
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   silence_.After(kSilence);
--- a/src/net/registry_client.cpp
+++ b/src/net/registry_client.cpp
@@ -72,6 +72,8 @@
         }
       },
       this);
+  // Guards against an answer that counts as overdue because gateways flood the loop.
+  bufferevent_priority_set(bev_.get(), kUrgent);
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, 2 * proto::kMostResponse);
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   if (bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_) !=
--- a/src/net/store/store_connection.cpp
+++ b/src/net/store/store_connection.cpp
@@ -34,6 +34,8 @@
   bufferevent_setcb(
       bev_.get(), [](bufferevent*, void* self) { static_cast<StoreConnection*>(self)->Read(); }, nullptr,
       [](bufferevent*, short what, void* self) { static_cast<StoreConnection*>(self)->Event(what); }, this);
+  // Guards against an answer that counts as overdue because gateways flood the loop.
+  bufferevent_priority_set(bev_.get(), kUrgent);
   bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   good_ = bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&address),
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -85,7 +85,14 @@
               {.verify = [this](std::uint64_t tag) { return pool_->Verify(tag); },
                .answer = [this](core::ReplyTo to, bool good) { front_->AnswerCheck(to, good); }}),
       registry_(base_.get(), net::ParseAddress(config_.registry), config_.registry, config_.name),
-      timer_(base_.get(), [this] { step_due_ = true; }),
+      timer_(
+          base_.get(),
+          [this] {
+            step_due_ = true;
+            // Guards the decisions against a flood that always leaves something to read: they are made now.
+            event_base_loopbreak(base_.get());
+          },
+          net::kUrgent),
       gauge_timer_(base_.get(), [this] { pool_->Poll(); }),
       // Beside a predecessor, once there is a worker pool to run what comes.
       listening_(!handover_.has_others()),
--- a/tests/net/connection_lifecycle_test.cpp
+++ b/tests/net/connection_lifecycle_test.cpp
@@ -3,6 +3,7 @@
 // them.
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -10,6 +11,7 @@
 
 #include "../scripted_peers.h"
 #include "net/connection_set.h"
+#include "net/gateway_front.h"
 #include "net/listener.h"
 
 namespace hingelink::net {
@@ -362,6 +364,123 @@
   EXPECT_EQ(requests_.size(), kOpen);
 }
 
+// ---- A flood at the descriptor limit ----
+
+class FloodTest : public testing::Test {
+ protected:
+  // All of them have connected and sent a request before the node accepts the first.
+  std::vector<Gateway> Flood(GatewayFront& front, std::uint32_t clients) {
+    std::vector<Gateway> flood;
+    for (std::uint32_t i = 1; i <= clients; ++i) {
+      flood.emplace_back(front.port());
+      flood.back().Write(Gateway::Request(i, "00000000000000a1", "x"));
+    }
+    return flood;
+  }
+  GatewayFront MakeFront(std::size_t most) {
+    return GatewayFront(base_.get(), ParseAddress("127.0.0.1:0"), Descriptor(), most,
+                        {.request = [this](const core::IncomingRequest& r) { Take(r); },
+                         .gone = [](core::ReplyTo) {},
+                         .check = {},
+                         .counts = [](std::string_view) { return core::ClassCountsPtr(); }});
+  }
+  void Take(const core::IncomingRequest& request) {
+    if (on_request_) on_request_();
+    requests_.push_back(request.reply_to);
+  }
+  void Turn(GatewayFront& front) {
+    tick_.After(1ms);
+    event_base_loop(base_.get(), EVLOOP_ONCE);
+    front.Sweep();
+  }
+
+  BasePtr base_ = MakeBase();
+  std::function<void()> on_request_;
+  std::vector<core::ReplyTo> requests_;
+
+ private:
+  Timer tick_{base_.get(), [] {}};
+};
+
+// More clients than descriptors, each with a request on its way: while all connections have one open the
+// others wait, and each of them is answered in the end.
+TEST_F(FloodTest, NobodyIsClosedWithARequestUnreadWhileAllConnectionsHaveOneOpen) {
+  constexpr std::size_t kMost = 4;
+  constexpr std::uint32_t kClients = 24;
+  GatewayFront front = MakeFront(kMost);
+  std::vector<Gateway> flood = Flood(front, kClients);
+  const auto until = Steady::now() + 20s;
+  std::size_t answered = 0;
+  while (answered < kClients && Steady::now() < until) {
+    while (requests_.size() < std::min<std::size_t>(answered + kMost, kClients) && Steady::now() < until)
+      Turn(front);
+    for (int i = 0; i < 40; ++i) Turn(front);  // It is full, and stays so: nobody else is let in or closed.
+    ASSERT_EQ(requests_.size(), std::min<std::size_t>(answered + kMost, kClients));
+    ASSERT_LE(front.connections(), kMost + 1);
+    while (answered < requests_.size()) front.Deliver(requests_[answered++], core::Served("result"));
+  }
+  for (std::uint32_t i = 0; i < kClients; ++i) {
+    for (int turns = 0; turns < 100 && !flood[i].socket().Ready(0); ++turns) Turn(front);
+    EXPECT_EQ(flood[i].ReadAnswer(i + 1, 0).body, "result");
+  }
+}
+
+// What has come on connections that stand is read before a flood of further ones is accepted.
+TEST_F(FloodTest, ConnectionsAreReadBetweenGroupsOfAccepts) {
+  GatewayFront front = MakeFront(1000);
+  std::size_t standing_at_first_request = 0;
+  on_request_ = [&] {
+    if (requests_.empty()) standing_at_first_request = front.connections();
+  };
+  std::vector<Gateway> flood = Flood(front, 200);
+  for (int turns = 0; turns < 1000 && requests_.size() < flood.size(); ++turns) Turn(front);
+  EXPECT_EQ(requests_.size(), flood.size());
+  EXPECT_LE(standing_at_first_request, 32u);
+}
+
+// A notice to leave while one waits at the limit: it is taken, and what it sent is read.
+TEST_F(FloodTest, TheOneThatWaitsForRoomIsTakenAtTheEnd) {
+  GatewayFront front = MakeFront(1);
+  std::vector<Gateway> flood = Flood(front, 2);
+  for (int turns = 0; turns < 40; ++turns) Turn(front);
+  ASSERT_EQ(requests_.size(), 1u);
+  front.StopListening();
+  for (int turns = 0; turns < 40; ++turns) Turn(front);
+  ASSERT_EQ(requests_.size(), 2u);
+}
+
+// Of many ordinary events only some run before an urgent one that has become ready meanwhile.
+TEST(EventBaseTest, WhatIsUrgentIsServedBetweenOrdinaryEvents) {
+  constexpr int kOrdinaryEvents = 1000;
+  BasePtr base = MakeBase();
+  int ends[2];
+  ASSERT_EQ(pipe(ends), 0);
+  const Descriptor reading(ends[0]), writing(ends[1]);
+  int ordinary = 0, ordinary_before_urgent = -1;
+  auto on_urgent = [&] { ordinary_before_urgent = ordinary; };
+  const EventPtr urgent(event_new(
+      base.get(), reading.get(), EV_READ,
+      [](evutil_socket_t, short, void* call) { (*static_cast<decltype(on_urgent)*>(call))(); }, &on_urgent));
+  event_priority_set(urgent.get(), kUrgent);
+  event_add(urgent.get(), nullptr);
+  auto on_ordinary = [&] {
+    if (ordinary++ > 0) return;
+    EXPECT_EQ(write(writing.get(), "x", 1), 1);
+  };
+  std::vector<EventPtr> events;
+  for (int i = 0; i < kOrdinaryEvents; ++i) {
+    events.emplace_back(event_new(
+        base.get(), -1, 0,
+        [](evutil_socket_t, short, void* call) { (*static_cast<decltype(on_ordinary)*>(call))(); },
+        &on_ordinary));
+    event_active(events.back().get(), EV_TIMEOUT, 0);
+  }
+  event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  EXPECT_EQ(ordinary, kOrdinaryEvents);
+  EXPECT_GE(ordinary_before_urgent, 1);
+  EXPECT_LE(ordinary_before_urgent, 100);
+}
+
 // ---- The listener ----
 
 class ListenerLifecycleTest : public testing::Test {
