A whole node at its ends and on other customers' settings, tested on real sockets

Seven tests of a node against scripted peers: SIGTERM before the pool is up, a drain under a broken pool link, an exit under requests that still come (no reset, none of them runs), a key that outlives its connection, reloads at each seventh byte of a request, idle clients that fill the descriptors while the registry hangs, and settings with one class, then 150 classes and tenants, by a reload.

--- /dev/null
+++ b/tests/node/node_lifecycle_test.cpp
@@ -0,0 +1,274 @@
+// A whole node at its ends: drains, exits, reloads and floods while something is owed, against scripted peers
+// on real sockets; and on the settings of other customers.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "../scripted_peers.h"
+#include "proto/pool_lines.h"
+
+namespace {
+
+using nlohmann::json;
+using peers::Frame;
+using peers::Gateway;
+using peers::PoolLink;
+using peers::RunningNode;
+
+const std::string kOne = "00000000000000a1", kTwo = "00000000000000a2", kThree = "00000000000000a3";
+const std::string kCheck = Gateway::Encode(6, 1, std::string(1, '\0'));
+
+// What a test changes of its node's configuration ends with it.
+class NodeLifecycle : public testing::Test {
+ protected:
+  void TearDown() override {
+    peers::edit_config = [](std::string text) { return text; };
+  }
+};
+
+struct BoundLink : PoolLink {
+  explicit BoundLink(const peers::Listener& pool, std::uint64_t last_notice = 0)
+      : PoolLink(pool, last_notice) {
+    Bound();
+    AnswerPoll(Line());
+  }
+};
+
+// ---- Drain and exit ----
+
+// A notice to leave before the worker pool was ever up: what came is refused, and the node ends by itself in
+// good order.
+TEST_F(NodeLifecycle, ANoticeToLeaveBeforeThePoolIsUpIsCarriedOut) {
+  RunningNode node(300);
+  Gateway gateway(node.port());
+  gateway.Write(Gateway::Request(1, kOne, "early"));
+  gateway.ReadAnswer(1, 1);
+  node.Leave();
+  EXPECT_EQ(gateway.Read().type, 9);
+  gateway.Write(Gateway::Request(2, kTwo, "crossed"));
+  gateway.ReadAnswer(2, 1);
+  EXPECT_TRUE(gateway.socket().Finished());
+  node.Join();
+}
+
+// The link to the pool breaks in the middle of a drain, and none comes any more: the execution in flight is
+// failed, not refused, and a request that was held is answered as well.
+TEST_F(NodeLifecycle, ADrainWithABrokenPoolLinkAnswersAllThatWasRead) {
+  RunningNode node(500);
+  Gateway gateway(node.port());
+  {
+    BoundLink link(node.pool);
+    const std::string now = std::to_string(Gateway::UnixMs());
+    gateway.Write(Gateway::Request(1, kOne, "runs", {{"ts", now}}));
+    EXPECT_EQ(link.Command(), "spawn " + kOne + " order-lodge 4");
+    gateway.Write(Gateway::Request(2, kTwo, "held", {{"ts", now}}) + kCheck);
+    EXPECT_EQ(gateway.Read().type, 7);  // Both have been read.
+    node.Leave();
+    EXPECT_EQ(gateway.Read().type, 9);
+  }
+  std::vector<int> codes(3, -1);
+  for (int answers = 0; answers < 2; ++answers) {
+    const Frame answer = gateway.Read();
+    ASSERT_EQ(answer.type, 1);
+    codes.at(answer.stream) = answer.code;
+  }
+  EXPECT_EQ(codes[1], 2);
+  EXPECT_NE(codes[2], 0);
+  EXPECT_TRUE(gateway.socket().Finished());
+  node.Join();
+}
+
+// A gateway that goes on sending, against the wish, until the node is gone: each request that was read is
+// answered, none of them runs, and the end is no reset.
+TEST_F(NodeLifecycle, TheExitUnderRequestsThatStillComeIsNoReset) {
+  RunningNode node(400);
+  BoundLink link(node.pool);
+  Gateway gateway(node.port());
+  gateway.Write(kCheck);
+  EXPECT_EQ(gateway.Read().type, 7);
+  node.Leave();
+  EXPECT_EQ(gateway.Read().type, 9);
+  std::uint32_t sent = 0;
+  std::set<std::uint32_t> answered;
+  for (bool open = true; open;) {
+    ++sent;
+    const std::string ahead = std::to_string(Gateway::UnixMs() + 1);
+    const std::string request =
+        Gateway::Request(sent, hingelink::proto::ReqText(1000 + sent), "late", {{"ts", ahead}});
+    open = send(gateway.socket().fd(), request.data(), request.size(), MSG_NOSIGNAL) > 0;
+    while (open && gateway.socket().Ready(0)) {
+      if (gateway.socket().AtEnd()) {
+        open = false;
+        break;
+      }
+      const Frame answer = gateway.Read();
+      ASSERT_EQ(answer.type, 1);
+      ASSERT_EQ(answer.code, 1);
+      ASSERT_TRUE(answered.insert(answer.stream).second);  // One answer each.
+    }
+  }
+  node.Join();
+  EXPECT_FALSE(answered.empty());
+  EXPECT_TRUE(gateway.socket().Finished());
+  // The worker pool was told of none of them.
+  EXPECT_EQ(link.CommandsSoFar(), std::vector<std::string>());
+}
+
+// A caller that breaks the connection under its keyed request: the key outlives it, and a later try gets the
+// result.
+TEST_F(NodeLifecycle, AKeyOutlivesTheConnectionThatBroughtIt) {
+  peers::edit_config = [](std::string text) {
+    json config = json::parse(text);
+    config["settings"]["requestClasses"][1]["repeat"] = "keyed";
+    config["settings"]["requestClasses"][1]["windowMs"] = 20000.0;
+    return config.dump();
+  };
+  RunningNode node;
+  BoundLink link(node.pool);
+  const std::map<std::string, std::string> keyed = {{"opkey", kOne + kTwo}};
+  {
+    Gateway first(node.port());
+    first.Write(Gateway::Request(1, kOne, "body", keyed));
+    EXPECT_EQ(link.Command(), "spawn " + kOne + " order-lodge 4");
+    first.socket().Reset();
+  }
+  Gateway second(node.port());
+  second.Write(Gateway::Request(1, kTwo, "body", keyed) + kCheck);
+  EXPECT_EQ(second.Read().type, 7);
+  link.Finish(1, kOne, "complete", "once");
+  EXPECT_EQ(second.ReadAnswer(1, 0).body, "once");
+  second.Write(Gateway::Request(2, kThree, "body", keyed));
+  EXPECT_EQ(second.ReadAnswer(2, 0).body, "once");
+}
+
+// ---- Reload ----
+
+// A new configuration between the two parts of a request, at each byte: it is decided by the settings that
+// hold when it is whole, and the connection goes on.
+TEST_F(NodeLifecycle, AReloadInTheMiddleOfARequestDisturbsNothing) {
+  RunningNode node;
+  BoundLink link(node.pool);
+  Gateway gateway(node.port());
+  const std::string with = node.config();
+  json changed = json::parse(with);
+  changed["settings"]["requestClasses"][1]["name"] = "order-new";
+  const std::string without = changed.dump();
+  std::uint64_t reloads = 0;
+  const auto reload = [&](const std::string& config) {
+    node.Reload(config);
+    const std::string done = "\nedge_node_reconfig_ok " + std::to_string(++reloads) + '\n';
+    while (node.Get("/ops/stats").find(done) == std::string::npos) {
+    }
+  };
+  const std::string sample = Gateway::Request(1, kOne, "x");
+  for (std::size_t split = 1; split < sample.size(); split += 7) {
+    const auto stream = static_cast<std::uint32_t>(split);
+    const std::string request = Gateway::Request(stream, hingelink::proto::ReqText(split), "x");
+    gateway.Write(request.substr(0, split));
+    gateway.Write("");
+    reload(without);
+    gateway.Write(request.substr(split));
+    gateway.ReadAnswer(stream, 1);  // Its class is no more.
+    reload(with);
+  }
+  gateway.Write(Gateway::Request(5000, kTwo, "x"));
+  EXPECT_EQ(link.Command(), "spawn " + kTwo + " order-lodge 1");
+}
+
+// ---- Descriptors ----
+
+// A registry that hangs, and idle clients that fill all descriptors meanwhile: once it answers, reports go
+// out again.
+TEST_F(NodeLifecycle, IdleClientsThatFillTheDescriptorsKeepNoReportFromTheRegistry) {
+  RunningNode node(600, peers::Sockets(64, 1));
+  BoundLink link(node.pool);
+  peers::Socket hanging = node.registry.Accept();
+  std::vector<Gateway> idle;
+  for (int i = 0; i < 200; ++i) {
+    idle.emplace_back(node.port());
+    idle.back().Write(kCheck);
+    EXPECT_EQ(idle.back().Read().type, 7);
+  }
+  // Calls that were given up meanwhile stand in the queue before the one that lives.
+  for (;;) {
+    peers::Socket registry = node.registry.Accept();
+    registry.Write("HTTP/1.1 204 No Content\r\n\r\n");
+    const std::string first = registry.LineOrEnd();
+    if (first.empty()) continue;
+    EXPECT_EQ(first, "PUT /v1/instances/n3 HTTP/1.1");
+    while (!registry.Line().empty()) {
+    }
+    registry.Bytes(17);
+    if (registry.LineOrEnd() == "PUT /v1/instances/n3 HTTP/1.1")
+      break;  // The next report, on the same connection.
+  }
+}
+
+// ---- Settings of other customers ----
+
+// Serves one request of a class, and gives what the worker pool was told.
+std::string Serve(Gateway& gateway, PoolLink& link, std::uint32_t stream, int notice, const std::string& kind,
+                  const std::map<std::string, std::string>& with = {}) {
+  std::map<std::string, std::string> fields = with;
+  fields["kind"] = kind;
+  const std::string req = hingelink::proto::ReqText(stream);
+  gateway.Write(Gateway::Request(stream, req, "body", fields));
+  std::string command = link.Command();
+  link.Finish(notice, req, "complete", "result of " + kind);
+  EXPECT_EQ(gateway.ReadAnswer(stream, 0).body, "result of " + kind);
+  return command;
+}
+
+std::string ReqOf(std::uint32_t stream) { return hingelink::proto::ReqText(stream); }
+
+// One class of another name, and then, by a reload, many classes and tenants: each request runs under its own
+// class, and the names of the settings before mean nothing.
+TEST_F(NodeLifecycle, ServesOtherCustomersSettingsAndKeepsNothingOfThem) {
+  constexpr int kClasses = 150;
+  peers::edit_config = [](std::string text) {
+    json config = json::parse(text);
+    config["settings"]["requestClasses"] = json::array({{{"name", "zeta"},
+                                                         {"goalTimeMs", 300.0},
+                                                         {"hardLimitMs", 4000.0},
+                                                         {"repeat", "safe"},
+                                                         {"worth", 2.0}}});
+    return config.dump();
+  };
+  RunningNode node;
+  BoundLink link(node.pool);
+  Gateway gateway(node.port());
+  EXPECT_EQ(Serve(gateway, link, 1, 1, "zeta"), "spawn " + ReqOf(1) + " zeta 4");
+  gateway.Write(Gateway::Request(2, ReqOf(2), "body", {{"kind", "order-lodge"}}));
+  gateway.ReadAnswer(2, 1);
+
+  json many = json::parse(node.config());
+  many["settings"]["requestClasses"] = json::array();
+  for (int i = 0; i < kClasses; ++i) {
+    many["settings"]["requestClasses"].push_back({{"name", "class-" + std::to_string(i)},
+                                                  {"goalTimeMs", 300.0},
+                                                  {"hardLimitMs", 4000.0},
+                                                  {"repeat", "safe"},
+                                                  {"worth", 1.0 + i}});
+    many["settings"]["tenants"].push_back(
+        {{"name", "tenant " + std::to_string(i)}, {"portion", 1.0 / kClasses}, {"quotaRps", 100.0}});
+  }
+  node.Reload(many.dump());
+  while (node.Get("/ops/stats").find("\nedge_node_reconfig_ok 1\n") == std::string::npos) {
+  }
+  for (std::uint32_t i = 0; i < kClasses; ++i) {
+    const std::string kind = "class-" + std::to_string(i);
+    const std::string owner = "tenant " + std::to_string(kClasses - 1 - static_cast<int>(i));
+    EXPECT_EQ(Serve(gateway, link, 10 + i, 2 + static_cast<int>(i), kind, {{"owner", owner}}),
+              "spawn " + ReqOf(10 + i) + ' ' + kind + " 4");
+  }
+  gateway.Write(Gateway::Request(1000, ReqOf(1000), "body", {{"kind", "zeta"}, {"owner", "tenant 1"}}));
+  gateway.ReadAnswer(1000, 1);
+  gateway.Write(Gateway::Request(1001, ReqOf(1001), "body", {{"kind", "class-1"}, {"owner", "north"}}));
+  gateway.ReadAnswer(1001, 1);
+}
+
+}  // namespace
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -22,6 +22,7 @@
 #include <string_view>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "node/node.h"
 
@@ -73,6 +74,18 @@
     const std::string line = Bytes(end + 2);
     return line.substr(0, end);
   }
+  // Whether nothing but the end of the stream is left to read, where Ready() is true.
+  bool AtEnd() const {
+    char byte;
+    return read_.empty() && recv(fd_, &byte, 1, MSG_PEEK) == 0;
+  }
+  // A line, or nothing where the peer ends the stream or resets first.
+  std::string LineOrEnd() {
+    while (read_.find("\r\n") == std::string::npos) {
+      if (!More()) return {};
+    }
+    return Line();
+  }
   // Whether the peer closes in good order, without a further byte.
   bool Finished() {
     char byte;
@@ -261,6 +274,15 @@
       AnswerPoll(line);
     }
   }
+  // All commands but polls that have come by now, of a node that sends no more.
+  std::vector<std::string> CommandsSoFar() {
+    std::vector<std::string> commands;
+    while (socket_.Ready(0)) {
+      const std::string line = socket_.Line();
+      if (!line.starts_with("poll ")) commands.push_back(line);
+    }
+    return commands;
+  }
   void AnswerPoll(const std::string& line) const { Write("polled " + line.substr(5) + " 0.1 0 0.1 1\r\n"); }
   void Finish(int number, const std::string& req, const std::string& end, const std::string& result) const {
     Write("finished " + std::to_string(number) + ' ' + req + ' ' + end + " 300.5 " +
