--- a/src/lab/rig/rig.h
+++ b/src/lab/rig/rig.h
@@ -69,9 +69,9 @@
   // the busiest over the mean in windows of 1 s, mean and worst.
   std::vector<std::uint64_t> started, errors, most_running;
   double most_1s = 0, worst_1s = 0;
-  double rss_mb = 0;                 // Mean of the nodes at the end.
+  double rss_mb = 0;                  // Mean of the nodes at the end.
   std::vector<std::string> recalled;  // By the log: starts that found what an earlier life had learned.
-  std::vector<std::string> crashed;  // Processes that ended by themselves.
+  std::vector<std::string> crashed;   // Processes that ended by themselves.
 
   nlohmann::ordered_json Json() const;
 };
--- a/tests/standin/gateways_test.cpp
+++ b/tests/standin/gateways_test.cpp
@@ -179,7 +179,7 @@
 
 TEST(GatewaysStandin, SendsARequestThatCrossedACloseOnceMoreAndNoFurther) {
   const Story run({[](FakeNode::Connection& c, std::uint32_t, const proto::RequestFrame&) { c.Close(); }},
-                [](GatewaysOptions& o) { o.rate = 20; });
+                  [](GatewaysOptions& o) { o.rate = 20; });
   EXPECT_GT(run.account.resent, 0u);
   EXPECT_EQ(run.sum.lost, run.account.resent);
   EXPECT_EQ(run.sum.served, 0u);
@@ -246,15 +246,15 @@
   // A node that tells a window of 2 and then falls silent: no more than what is open when it is heard go out.
   int answered = 0;
   const Story window({[&](FakeNode::Connection& c, std::uint32_t stream, const proto::RequestFrame& r) {
-                     if (answered++ > 0) return;
-                     proto::AnswerFields fields;
-                     fields.signal = 2;
-                     c.Answer(stream, proto::AnswerCode::kServed, Right(r), fields);
-                   }},
-                   [](GatewaysOptions& o) {
-                     o.signal = GatewaysOptions::Signal::kWindow;
-                     o.rate = 100;
-                   });
+                       if (answered++ > 0) return;
+                       proto::AnswerFields fields;
+                       fields.signal = 2;
+                       c.Answer(stream, proto::AnswerCode::kServed, Right(r), fields);
+                     }},
+                     [](GatewaysOptions& o) {
+                       o.signal = GatewaysOptions::Signal::kWindow;
+                       o.rate = 100;
+                     });
   EXPECT_LE(window.sum.tries, 6u);
   EXPECT_GT(window.sum.not_sent, 5u);
 }
@@ -273,12 +273,12 @@
   int most = 0;
   std::map<const FakeNode::Connection*, int> open;
   const Story run({[&](FakeNode::Connection& c, std::uint32_t, const proto::RequestFrame&) {
-                  most = std::max(most, ++open[&c]);
-                }},
-                [](GatewaysOptions& o) {
-                  o.rate = 2000;
-                  o.most_connections = 2;
-                });
+                    most = std::max(most, ++open[&c]);
+                  }},
+                  [](GatewaysOptions& o) {
+                    o.rate = 2000;
+                    o.most_connections = 2;
+                  });
   EXPECT_EQ(most, 32);
   EXPECT_EQ(run.nodes[0]->accepted, 2u);
   EXPECT_GT(run.sum.not_sent, 0u);
--- a/tests/state/recording_disk.h
+++ b/tests/state/recording_disk.h
@@ -108,8 +108,7 @@
     if (++calls == fail_at) throw FileError(what + ": No space left on device");
   }
 
-  std::map<std::string, std::string> Rebuild(std::size_t count, std::size_t names_synced,
-                                             std::size_t subset,
+  std::map<std::string, std::string> Rebuild(std::size_t count, std::size_t names_synced, std::size_t subset,
                                              int part) const {
     std::map<std::string, int> names = first_names_;
     std::size_t next = 0;
