--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -582,6 +582,83 @@
   return TakeOut();
 }
 
+// An answer to this node's own probe, or to one that it made for another.
+void Membership::HearAck(const PeerMessage& message) {
+  if (probe_ && !probe_->answered && message.number == probe_->number && message.subject == probe_->name) {
+    probe_->answered = true;
+    Health(-1);
+  }
+  const auto helped = std::find_if(helped_.begin(), helped_.end(), [&](const Helped& h) {
+    return h.number == message.number && h.name == message.subject;
+  });
+  if (helped != helped_.end() && message.subject == message.records.front().name) {
+    PeerMessage ack = Compose(MessageKind::kAck, helped->askers_number);
+    ack.subject = message.subject;
+    ack.records.push_back(message.records.front());
+    Send(helped->asker, std::move(ack));
+    helped_.erase(helped);
+  }
+}
+
+// Probes a member for another node, and tells that node what comes of it.
+void Membership::HelpToProbe(FleetTime now, PeerAddress from, const PeerMessage& message) {
+  if (helped_.size() < options_.most_helped && !message.subject.empty()) {
+    Helped helped;
+    helped.number = ++last_number_;
+    helped.name = message.subject;
+    helped.asker = from;
+    helped.askers_number = message.number;
+    helped.nack_at = now + options_.answer * 0.8;
+    helped.end_at = now + options_.period;
+    helped_.push_back(helped);
+    PeerMessage ping = Compose(MessageKind::kPing, helped.number);
+    ping.subject = message.subject;
+    Send(message.address, std::move(ping), message.subject);
+  }
+}
+
+// Another node's digests: tells which buckets differ, with records of those.
+void Membership::AnswerCompare(PeerAddress from, const PeerMessage& message, const std::string& first) {
+  PeerMessage differ = Compose(MessageKind::kDiffer, message.number);
+  std::size_t bytes = MostBytes(differ) + kBuckets * kBucketBytes;
+  std::array<bool, kBuckets> wanted{};
+  if (message.digests.size() == kBuckets) {
+    for (std::size_t i = 0; i < kBuckets; ++i) {
+      wanted[i] = message.digests[i] != digests_[i];
+      if (wanted[i]) differ.differing.push_back(static_cast<std::uint8_t>(i));
+    }
+  }
+  // From a random place on: what does not fit this time will be first another time.
+  const std::size_t from_place = Below(order_.size());
+  for (std::size_t i = 0; i < order_.size(); ++i) {
+    const MemberRecord& record = order_[(from_place + i) % order_.size()]->record;
+    if (!wanted[BucketOf(record.name)]) continue;
+    if (bytes + MostBytes(record) > options_.most_bytes) break;
+    bytes += MostBytes(record);
+    differ.records.push_back(record);
+  }
+  Send(from, std::move(differ), first);
+}
+
+// The buckets that differ at another node: tells what is known here of them.
+void Membership::AnswerDiffer(PeerAddress from, const PeerMessage& message, const std::string& first) {
+  std::array<bool, kBuckets> wanted{};
+  for (const std::uint8_t bucket : message.differing) wanted[bucket % kBuckets] = true;
+  PeerMessage news = Compose(MessageKind::kNews, message.number);
+  std::size_t bytes = MostBytes(news);
+  const std::size_t from_place = Below(order_.size());
+  for (std::size_t i = 0; i < order_.size(); ++i) {
+    const MemberRecord& record = order_[(from_place + i) % order_.size()]->record;
+    if (!wanted[BucketOf(record.name)]) continue;
+    if (bytes + MostBytes(record) > options_.most_bytes) break;
+    // What has just come from there is known there.
+    if (std::find(message.records.begin(), message.records.end(), record) != message.records.end()) continue;
+    bytes += MostBytes(record);
+    news.records.push_back(record);
+  }
+  if (!message.differing.empty()) Send(from, std::move(news), first);
+}
+
 MembershipActions Membership::Hear(FleetTime now, PeerAddress from, const PeerMessage& message) {
   Notice(now);
   if (message.records.empty() || message.records.front().name == self_.name) {
@@ -605,85 +682,23 @@
       Send(from, std::move(ack), first);
       break;
     }
-    case MessageKind::kAck: {
-      if (probe_ && !probe_->answered && message.number == probe_->number &&
-          message.subject == probe_->name) {
-        probe_->answered = true;
-        Health(-1);
-      }
-      const auto helped = std::find_if(helped_.begin(), helped_.end(), [&](const Helped& h) {
-        return h.number == message.number && h.name == message.subject;
-      });
-      if (helped != helped_.end() && message.subject == sender) {
-        PeerMessage ack = Compose(MessageKind::kAck, helped->askers_number);
-        ack.subject = message.subject;
-        ack.records.push_back(message.records.front());
-        Send(helped->asker, std::move(ack));
-        helped_.erase(helped);
-      }
+    case MessageKind::kAck:
+      HearAck(message);
       break;
-    }
     case MessageKind::kAskPing:
-      if (helped_.size() < options_.most_helped && !message.subject.empty()) {
-        Helped helped;
-        helped.number = ++last_number_;
-        helped.name = message.subject;
-        helped.asker = from;
-        helped.askers_number = message.number;
-        helped.nack_at = now + options_.answer * 0.8;
-        helped.end_at = now + options_.period;
-        helped_.push_back(helped);
-        PeerMessage ping = Compose(MessageKind::kPing, helped.number);
-        ping.subject = message.subject;
-        Send(message.address, std::move(ping), message.subject);
-      }
+      HelpToProbe(now, from, message);
       break;
     case MessageKind::kNack:
       if (probe_ && message.number == probe_->number) ++probe_->nacks;
       break;
     case MessageKind::kNews:
       break;
-    case MessageKind::kCompare: {
-      PeerMessage differ = Compose(MessageKind::kDiffer, message.number);
-      std::size_t bytes = MostBytes(differ) + kBuckets * kBucketBytes;
-      std::array<bool, kBuckets> wanted{};
-      if (message.digests.size() == kBuckets) {
-        for (std::size_t i = 0; i < kBuckets; ++i) {
-          wanted[i] = message.digests[i] != digests_[i];
-          if (wanted[i]) differ.differing.push_back(static_cast<std::uint8_t>(i));
-        }
-      }
-      // From a random place on: what does not fit this time will be first another time.
-      const std::size_t from_place = Below(order_.size());
-      for (std::size_t i = 0; i < order_.size(); ++i) {
-        const MemberRecord& record = order_[(from_place + i) % order_.size()]->record;
-        if (!wanted[BucketOf(record.name)]) continue;
-        if (bytes + MostBytes(record) > options_.most_bytes) break;
-        bytes += MostBytes(record);
-        differ.records.push_back(record);
-      }
-      Send(from, std::move(differ), first);
+    case MessageKind::kCompare:
+      AnswerCompare(from, message, first);
       break;
-    }
-    case MessageKind::kDiffer: {
-      std::array<bool, kBuckets> wanted{};
-      for (const std::uint8_t bucket : message.differing) wanted[bucket % kBuckets] = true;
-      PeerMessage news = Compose(MessageKind::kNews, message.number);
-      std::size_t bytes = MostBytes(news);
-      const std::size_t from_place = Below(order_.size());
-      for (std::size_t i = 0; i < order_.size(); ++i) {
-        const MemberRecord& record = order_[(from_place + i) % order_.size()]->record;
-        if (!wanted[BucketOf(record.name)]) continue;
-        if (bytes + MostBytes(record) > options_.most_bytes) break;
-        // What has just come from there is known there.
-        if (std::find(message.records.begin(), message.records.end(), record) != message.records.end())
-          continue;
-        bytes += MostBytes(record);
-        news.records.push_back(record);
-      }
-      if (!message.differing.empty()) Send(from, std::move(news), first);
+    case MessageKind::kDiffer:
+      AnswerDiffer(from, message, first);
       break;
-    }
   }
   if (message.view != view_ && member != nullptr) {
     if (!differs_) {
--- a/src/decide/membership.h
+++ b/src/decide/membership.h
@@ -246,6 +246,10 @@
   void Hold(FleetTime now, Member& member, FleetTime until, bool ask);
   void Postpone(FleetTime until);
   void Heard(FleetTime now, Member& member);
+  void HearAck(const PeerMessage& message);
+  void HelpToProbe(FleetTime now, PeerAddress from, const PeerMessage& message);
+  void AnswerCompare(PeerAddress from, const PeerMessage& message, const std::string& first);
+  void AnswerDiffer(PeerAddress from, const PeerMessage& message, const std::string& first);
   void SetHeld(Member& member, bool held);
   void Queue(Member& member);
   void Count(Belief belief, int step);
--- a/src/decide/supervise.h
+++ b/src/decide/supervise.h
@@ -170,7 +170,7 @@
   void On(const AskUpgrade&);
   void On(const Tick&);
 
-  void Do(Action action) { out_.push_back(std::move(action)); }
+  void Do(const Action& action) { out_.push_back(action); }
   void StartNode();
   void Crashed(std::uint64_t generation);
   void Promote();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,7 +5,9 @@
 
 #include "cli/commands.h"
 
-int main(int argc, char** argv) {
+namespace {
+
+int Run(int argc, char** argv) {
   CLI::App app(
       "hingelink: a portal node that decides for each request whether it is run, held or turned away");
   app.require_subcommand(1);
@@ -34,9 +36,17 @@
     app.parse(argc, argv);
   } catch (const CLI::Error& stop) {
     return app.exit(stop);
+  }
+  return status;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
   } catch (const std::exception& fault) {
     std::fprintf(stderr, "hingelink: %s\n", fault.what());
     return 1;
   }
-  return status;
 }
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -63,7 +63,8 @@
     fresh_ = true;
     ++put_;
     if (waiting_.empty() && queue_.try_enqueue(std::move(message))) return;
-    waiting_.push_back(std::move(message));
+    waiting_.push_back(
+        std::move(message));  // NOLINT(bugprone-use-after-move): moved only where it was queued.
     parked_.store(waiting_.size(), std::memory_order_relaxed);
   }
   void Flush() {
--- a/src/net/gateway/connection.cpp
+++ b/src/net/gateway/connection.cpp
@@ -21,10 +21,10 @@
 // Unread bytes held of one connection: always more than the longest frame that is kept.
 constexpr std::size_t kReadAhead = 2 * proto::kMostKept;
 // Unsent bytes from which a connection is not read: its gateway must take answers before it asks for more.
-constexpr std::size_t kUnsentPause = 16 * 1024;
+constexpr std::size_t kUnsentPause = std::size_t{16} * 1024;
 // Unsent bytes at which it is given up: above the pause and 32 of the longest answers. All connections that
 // the descriptors allow, each just under it, still fit into the node's memory.
-constexpr std::size_t kUnsentMost = 160 * 1024;
+constexpr std::size_t kUnsentMost = std::size_t{160} * 1024;
 // With no byte of a frame that has begun, or that is awaited from the accept on: a bad client is owed its end
 // within 3 s. On a connection that has sent whole frames; and for a whole frame, however steadily it comes.
 constexpr int kQuietLooks = 9, kQuietLooksUsed = 20, kFrameLooks = 40;
--- a/src/net/lingering_closer.cpp
+++ b/src/net/lingering_closer.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Read in one callback, so that a peer that floods leaves the other sockets their turn.
-constexpr std::size_t kBytesAtOnce = 16 * 1024;
+constexpr std::size_t kBytesAtOnce = std::size_t{16} * 1024;
 
 }  // namespace
 
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -28,24 +28,30 @@
 // Guards against a text that the settings' lines would take for further lines.
 std::string Scalar(const Json& value, const std::string& path) {
   if (!value.is_string()) return value.dump();
-  const std::string text = value.get<std::string>();
+  std::string text = value.get<std::string>();
   if (text.find_first_of("\r\n") != std::string::npos) {
     throw ConfigError("settings." + path + " has a line break; it must be a text of one line");
   }
   return text;
 }
 
+std::string Below(const std::string& path, const std::string& name) {
+  return path.empty() ? name : std::string(path).append(".").append(name);
+}
+
 // Writes nested settings as the path=value lines that the adapter's parser reads.
 void Flatten(const Json& value, const std::string& path, std::string& lines) {
   if (value.is_object()) {
     for (const auto& [name, member] : value.items()) {
-      Flatten(member, path.empty() ? name : path + '.' + name, lines);
+      Flatten(member, Below(path, name), lines);
     }
     return;
   }
   if (value.is_array() && !value.empty() && value.front().is_object()) {
     lines += path + ".count=" + std::to_string(value.size()) + '\n';
-    for (std::size_t i = 0; i < value.size(); ++i) Flatten(value[i], path + '.' + std::to_string(i), lines);
+    for (std::size_t i = 0; i < value.size(); ++i) {
+      Flatten(value[i], std::string(path).append(".").append(std::to_string(i)), lines);
+    }
     return;
   }
   lines += path + '=';
@@ -163,12 +169,11 @@
 // `fresh`, too. Lists of objects are matched by name; one of a new name needs what all the running have.
 void CheckKeys(const Json& running, const Json& fresh, const std::string& path) {
   if (!SameKind(running, fresh)) {
-    throw ConfigError(path + " is " + Shown(fresh) + "; it must be " + KindName(running) +
-                      ", as in the running one");
+    Reject(path, fresh, KindName(running) + ", as in the running one");
   }
   if (running.is_object()) {
     for (const auto& [name, member] : running.items()) {
-      const std::string at = path.empty() ? name : path + '.' + name;
+      const std::string at = Below(path, name);
       if (!fresh.contains(name)) {
         throw ConfigError(at + " is missing; it must be " + KindName(member) + ", as in the running one");
       }
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -202,10 +202,10 @@
   if (others_ == Others::kNever) {
     answer = Refused();
     if (settings_.passes_retry_after) answer->stay_away = kKeysUnknown;
-  } else if (others_ == Others::kElsewhere && !keys_.IsKnown(*entry.key)) {
-    answer = Failed();
-  } else if (!keys_.Fits(*entry.key, content, came)) {
-    // Another request under a key that is taken. Failed: a refusal would say that the key's never ran.
+  } else if ((others_ == Others::kElsewhere && !keys_.IsKnown(*entry.key)) ||
+             !keys_.Fits(*entry.key, content, came)) {
+    // It may run in another process, or it is another request under a key that is taken. Failed: a refusal
+    // would say that the key's never ran.
     answer = Failed();
   }
   if (answer) {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -14,8 +14,9 @@
   cmake -S . -B "build-$kind" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DHINGELINK_BUILD_TESTS=ON -DHINGELINK_WERROR=ON "$@"
 }
 # The platform's own build, which the guard of `run` looks at.
-cmake -S . -B build-platform -DCMAKE_BUILD_TYPE=Release -DHINGELINK_TOOLS=OFF
+cmake -S . -B build-platform -DCMAKE_BUILD_TYPE=Release -DHINGELINK_TOOLS=OFF -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
 cmake --build build-platform -j"$(nproc)"
+sh tests/lint.sh build-platform
 configure plain -DHINGELINK_PLATFORM_BUILD="$PWD/build-platform" -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O2 -g"
 configure sanitize -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g1" -DHINGELINK_SANITIZE=ON
 for kind in plain sanitize; do
