Rig: keep the logs of a violated run and describe each unanswered attempt

A red run of the rig named a count ('5 unanswered') and threw away its folder, so nothing could be told about it afterwards, and a third void run looked like a valid one.

Now a run that violates an assertion keeps its folder with the nodes' logs and result.json, and the failure names it and says if the run was void. For each unanswered attempt the result has its id, class, node, connection, times, the bytes that lay unread at the gateway, and whether the worker pool had started or ended its execution; besides, the lateness of the gateways' checks and the longest wait of a node for a core (/proc/PID/schedstat). NodeProcess and the datagram forger leave rig.cpp for files of their own.

--- a/src/cli/process.cpp
+++ b/src/cli/process.cpp
@@ -37,6 +37,7 @@
 }
 
 TemporaryFolder::~TemporaryFolder() {
+  if (is_kept_) return;
   std::error_code ignored;
   std::filesystem::remove_all(path_, ignored);
 }
--- a/src/cli/process.h
+++ b/src/cli/process.h
@@ -17,7 +17,7 @@
 // The path of this program's own file.
 std::string OwnProgram();
 
-// A folder of its own under $TMPDIR or /tmp, removed with all that is in it at the end.
+// A folder of its own under $TMPDIR or /tmp, removed with all that is in it at the end, unless it is kept.
 class TemporaryFolder {
  public:
   TemporaryFolder();
@@ -25,9 +25,12 @@
   TemporaryFolder(const TemporaryFolder&) = delete;
   TemporaryFolder& operator=(const TemporaryFolder&) = delete;
   const std::string& path() const { return path_; }
+  // The folder is not removed.
+  void Keep() { is_kept_ = true; }
 
  private:
   std::string path_;
+  bool is_kept_ = false;
 };
 
 }  // namespace hingelink::cli
--- a/src/lab/rig/rig.cpp
+++ b/src/lab/rig/rig.cpp
@@ -1,23 +1,21 @@
 #include "lab/rig/rig.h"
 
 #include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <atomic>
 #include <cmath>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <pcg_random.hpp>
 #include <set>
-#include <sstream>
 #include <stdexcept>
 #include <thread>
 
+#include "lab/rig/datagram_forger.h"
+#include "lab/rig/node_process.h"
+#include "proto/pool_lines.h"
 #include "standin/host.h"
 #include "standin/own_address.h"
 #include "standin/pool.h"
@@ -33,102 +31,10 @@
 // Of services that are shared: up to so many pairs each node can reach all.
 constexpr std::size_t kAllPairs = 500, kSpareServices = 3;
 constexpr auto kPatience = 60s;
+// Unanswered attempts that are described one by one.
+constexpr std::size_t kMaxUnansweredDescribed = 20;
 
-// A process of the rig's own: started, signalled and waited for by its number, which stays its own until
-// then.
-class NodeProcess {
- public:
-  ~NodeProcess() { Kill(); }
-
-  void Start(const std::vector<std::string>& words, const std::string& folder) {
-    if (pid_ > 0) return;
-    pid_ = fork();
-    if (pid_ < 0) throw std::runtime_error("rig: no process");
-    if (pid_ == 0) {
-      // Guards against nodes that outlive a rig that was killed.
-      prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int log = open((folder + "/log").c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
-      dup2(log, 1);
-      dup2(log, 2);
-      setenv("TMPDIR", (folder + "/run").c_str(), 1);
-      std::vector<char*> args;
-      for (const std::string& word : words) args.push_back(const_cast<char*>(word.c_str()));
-      args.push_back(nullptr);
-      execv(args[0], args.data());
-      _exit(127);
-    }
-  }
-  void Signal(int number) const {
-    if (pid_ > 0) kill(pid_, number);
-  }
-  void Kill() {
-    if (pid_ <= 0) return;
-    Gather();
-    kill(pid_, SIGKILL);
-    waitpid(pid_, nullptr, 0);
-    pid_ = -1;
-    earlier_seconds_ = cpu_seconds_;
-  }
-  // Whether it has ended by itself.
-  bool Ended() {
-    if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
-    pid_ = -1;
-    earlier_seconds_ = cpu_seconds_;
-    return true;
-  }
-  bool running() const { return pid_ > 0; }
-  void Gather() {
-    if (pid_ <= 0) return;
-    std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
-    std::string line;
-    if (!std::getline(file, line)) return;
-    std::istringstream words(line.substr(line.rfind(')') + 2));
-    const std::vector<std::string> fields(std::istream_iterator<std::string>(words), {});
-    if (fields.size() < 22) return;
-    const double seconds =
-        (std::stod(fields[11]) + std::stod(fields[12])) / static_cast<double>(sysconf(_SC_CLK_TCK));
-    cpu_seconds_ = earlier_seconds_ + seconds;
-    rss_mb_ = std::stod(fields[21]) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-  }
-  double cpu_seconds() const { return cpu_seconds_; }
-  double rss_mb() const { return rss_mb_; }
-
- private:
-  pid_t pid_ = -1;
-  double cpu_seconds_ = 0, earlier_seconds_ = 0, rss_mb_ = 0;
-};
-
-// Sends datagrams that look like true ones, and are not, from a thread of its own, as long as it lives.
-class Forger {
- public:
-  // `true_one`: what was heard on the way to `target`; one bit of each copy is turned.
-  Forger(std::string true_one, const std::string& target, double rate)
-      : thread_([this, true_one = std::move(true_one), at = net::ParseAddress(target),
-                 rate](const std::stop_token& stop) { Send(true_one, at, rate, stop); }) {}
-  std::uint64_t sent() const { return sent_; }
-
- private:
-  void Send(const std::string& true_one, sockaddr_in at, double rate, const std::stop_token& stop) {
-    const net::Descriptor out(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
-    const Steady::time_point began = Steady::now();
-    std::string datagram = true_one;
-    while (!stop.stop_requested()) {
-      const double wanted = std::chrono::duration<double>(Steady::now() - began).count() * rate;
-      for (; static_cast<double>(sent_) < wanted && !stop.stop_requested(); ++sent_) {
-        // Each another one: neither the key's name nor the length gives it away.
-        char& turned = datagram[4 + sent_ % (datagram.size() - 4)];
-        turned = static_cast<char>(turned ^ 1);
-        sendto(out.get(), datagram.data(), datagram.size(), 0, reinterpret_cast<const sockaddr*>(&at),
-               sizeof at);
-        turned = static_cast<char>(turned ^ 1);
-      }
-      std::this_thread::sleep_for(1ms);
-    }
-  }
-
-  std::atomic<std::uint64_t> sent_{0};
-  std::jthread thread_;
-};
+double Round(double value) { return std::round(value * 1000) / 1000; }
 
 struct Event {
   Millis at{0};
@@ -178,6 +84,7 @@
     int upgrades = 0;
     bool frozen = false, wanted = false;
     Millis began{0}, lived{0};
+    Millis core_wait_most{0};  // Between two looks.
   };
   struct Kill {
     std::size_t node = 0;
@@ -383,7 +290,7 @@
     std::string heard;
     relays_.Do([&] { heard = datagrams_->last(i); });
     if (heard.size() > 8) {
-      forgers_[i] = std::make_unique<Forger>(std::move(heard), nodes_[i].peers, rate);
+      forgers_[i] = std::make_unique<DatagramForger>(std::move(heard), nodes_[i].peers, rate);
     } else {
       Violate("no datagram came for " + nodes_[i].name + " that could be forged");
     }
@@ -511,9 +418,24 @@
       gateways.rate = Rate(scenario_.load.front().share);
       gateways.retries = 1;
       gateways.seed = scenario_.seed;
+      gateways.on_unanswered = [this](const standin::UnansweredAttempt& attempt) { Describe(attempt); };
       gateways_ = std::make_unique<standin::Gateways>(standins_.base(), gateways);
     });
   }
+  // On the loop of the stand-ins.
+  void Describe(const standin::UnansweredAttempt& attempt) {
+    if (result_.unanswered.size() >= kMaxUnansweredDescribed) return;
+    UnansweredReport report;
+    report.attempt = attempt;
+    report.node = nodes_[attempt.target].name;
+    for (const auto& pool : pools_) {
+      const auto state = pool->StateOf(attempt.request_id);
+      if (state != standin::Pool::RunState::kNone) report.run_state = state;
+    }
+    report.sweep_lag = gateways_->account().worst_sweep_lag;
+    report.scenario_time = Now();
+    result_.unanswered.push_back(std::move(report));
+  }
   double Rate(double share) const {
     return std::max(0.1, share * options_.capacity(scenario_.fleet.cores) *
                              static_cast<double>(shared() ? pools_.size() : count_));
@@ -595,6 +517,8 @@
         Violate(node.name + " ended by itself");
       }
       if (!node.wanted) continue;
+      node.process->Gather();
+      node.core_wait_most = std::max(node.core_wait_most, node.process->CoreWait(grain_ * 2));
       ++live;
       if (node.frozen || !options_.peers) continue;
       views[i] = options_.look(node.control);
@@ -693,6 +617,8 @@
         result_.account = account.Sum();
         result_.median_ms = account.Wait(0.5);
         result_.p99_ms = account.Wait(0.99);
+        result_.arrival_lag = account.worst_lag;
+        result_.sweep_lag = account.worst_sweep_lag;
         if (account.worst_lag > options_.late_most) result_.is_void = true;
       });
     }
@@ -723,6 +649,7 @@
     Millis lived{0};
     for (Node& node : nodes_) {
       double seconds = 0;
+      result_.core_wait_most = std::max(result_.core_wait_most, node.core_wait_most);
       if (node.process->running()) {
         node.lived += Now() - node.began;
         node.process->Gather();
@@ -817,7 +744,7 @@
   std::vector<Kill> kills_;
   std::set<std::string> cut_off_;
   std::map<std::string, std::string> keys_;  // Lines, by the scenario's names.
-  std::map<std::size_t, std::unique_ptr<Forger>> forgers_;
+  std::map<std::size_t, std::unique_ptr<DatagramForger>> forgers_;
   Millis grain_{0};                               // Between two looks.
   std::vector<std::vector<std::uint32_t>> rows_;  // Of services that are shared, by node.
   std::map<std::pair<std::size_t, std::size_t>, std::string> service_at_;  // By node and service.
@@ -827,53 +754,74 @@
   RigResult result_;
 };
 
-double Round(double value) { return std::round(value * 1000) / 1000; }
-
 }  // namespace
 
+nlohmann::ordered_json UnansweredReport::Json() const {
+  const char* run = "none";
+  if (run_state == standin::Pool::RunState::kRunning) run = "running";
+  if (run_state == standin::Pool::RunState::kEnded) run = "ended";
+  return {{"id", proto::FormatRequestId(attempt.request_id)},
+          {"class", attempt.class_name},
+          {"node", node},
+          {"connection", attempt.connection},
+          {"connected", attempt.connected},
+          {"unread_bytes", attempt.unread_bytes},
+          {"at_ms", Round(scenario_time.count())},
+          {"since_sent_ms", Round((attempt.counted - attempt.sent).count())},
+          {"past_due_ms", Round((attempt.counted - attempt.due).count())},
+          {"run", run},
+          {"sweep_lag_ms", Round(sweep_lag.count())}};
+}
+
 nlohmann::ordered_json RigResult::Json() const {
-  nlohmann::ordered_json json = {
-      {"scenario", scenario},
-      {"seed", seed},
-      {"void", is_void},
-      {"violations", violations},
-      {"late_ms", {{"worst", Round(late_worst.count())}, {"p99", Round(late_99.count())}}},
-      {"account",
-       {{"requests", account.requests},
-        {"tries", account.tries},
-        {"served", account.served},
-        {"refused", account.refused},
-        {"failed", account.failed},
-        {"lost", account.lost},
-        {"unanswered", account.unanswered},
-        {"late", account.late},
-        {"wrong", account.wrong},
-        {"twice", account.twice},
-        {"not_sent", account.not_sent},
-        {"good", account.good},
-        {"median_ms", Round(median_ms)},
-        {"p99_ms", Round(p99_ms)}}},
-      {"relay",
-       {{"datagrams", relay.datagrams},
-        {"bytes", relay.bytes},
-        {"lost", relay.lost},
-        {"connections", relay.connections},
-        {"resets", relay.resets}}},
-      {"bytes_a_second", Round(bytes_a_second)},
-      {"cpu_share", Round(cpu_share)},
-      {"cpu_most", Round(cpu_most)},
-      {"forged", forged},
-      {"spread",
-       {{"started", started},
-        {"errors", errors},
-        {"most_running", most_running},
-        {"most_1s", Round(most_1s)},
-        {"worst_1s", Round(worst_1s)}}},
-      {"rss_mb", Round(rss_mb)},
-      {"cut_off", cut_off},
-      {"recalled", recalled},
-      {"crashed", crashed}};
+  nlohmann::ordered_json json = {{"scenario", scenario},
+                                 {"seed", seed},
+                                 {"void", is_void},
+                                 {"violations", violations},
+                                 {"late_ms",
+                                  {{"worst", Round(late_worst.count())},
+                                   {"p99", Round(late_99.count())},
+                                   {"arrivals", Round(arrival_lag.count())},
+                                   {"sweeps", Round(sweep_lag.count())}}},
+                                 {"core_wait_most_ms", Round(core_wait_most.count())},
+                                 {"account",
+                                  {{"requests", account.requests},
+                                   {"tries", account.tries},
+                                   {"served", account.served},
+                                   {"refused", account.refused},
+                                   {"failed", account.failed},
+                                   {"lost", account.lost},
+                                   {"unanswered", account.unanswered},
+                                   {"late", account.late},
+                                   {"wrong", account.wrong},
+                                   {"twice", account.twice},
+                                   {"not_sent", account.not_sent},
+                                   {"good", account.good},
+                                   {"median_ms", Round(median_ms)},
+                                   {"p99_ms", Round(p99_ms)}}},
+                                 {"relay",
+                                  {{"datagrams", relay.datagrams},
+                                   {"bytes", relay.bytes},
+                                   {"lost", relay.lost},
+                                   {"connections", relay.connections},
+                                   {"resets", relay.resets}}},
+                                 {"bytes_a_second", Round(bytes_a_second)},
+                                 {"cpu_share", Round(cpu_share)},
+                                 {"cpu_most", Round(cpu_most)},
+                                 {"forged", forged},
+                                 {"spread",
+                                  {{"started", started},
+                                   {"errors", errors},
+                                   {"most_running", most_running},
+                                   {"most_1s", Round(most_1s)},
+                                   {"worst_1s", Round(worst_1s)}}},
+                                 {"rss_mb", Round(rss_mb)},
+                                 {"cut_off", cut_off},
+                                 {"recalled", recalled},
+                                 {"crashed", crashed}};
   json["kills"] = KillsJson(kills);
+  json["unanswered"] = nlohmann::ordered_json::array();
+  for (const UnansweredReport& report : unanswered) json["unanswered"].push_back(report.Json());
   json["agreed_after_ms"] = MillisJson(agreed_after);
   return json;
 }
--- a/src/lab/rig/rig.h
+++ b/src/lab/rig/rig.h
@@ -16,6 +16,7 @@
 #include "lab/scenario/judge.h"
 #include "lab/scenario/scenario.h"
 #include "standin/gateways.h"
+#include "standin/pool.h"
 
 namespace hingelink::lab {
 
@@ -49,12 +50,26 @@
   std::function<void(const std::string& line)> progress;
 };
 
+// An attempt that a gateway counted as unanswered, with what the rig knew of it then.
+struct UnansweredReport {
+  standin::UnansweredAttempt attempt;
+  std::string node;
+  standin::Pool::RunState run_state = standin::Pool::RunState::kNone;
+  Millis scenario_time{0};
+  Millis sweep_lag{0};  // Worst lag of the gateways' checks until then.
+
+  [[nodiscard]] nlohmann::ordered_json Json() const;
+};
+
 struct RigResult {
   std::string scenario;
   std::uint64_t seed = 0;
   std::vector<std::string> violations;
   bool is_void = false;  // The rig was the bound.
   Millis late_worst{0}, late_99{0};
+  Millis arrival_lag{0}, sweep_lag{0};       // Worst lags of the gateways.
+  Millis core_wait_most{0};                  // Worst wait of a node for a core between two or three looks.
+  std::vector<UnansweredReport> unanswered;  // The first ones.
   standin::ClassAccount account;
   double median_ms = 0, p99_ms = 0;
   RelayCounts relay;
--- a/src/standin/gateways.cpp
+++ b/src/standin/gateways.cpp
@@ -1,5 +1,7 @@
 #include "standin/gateways.h"
 
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -195,6 +197,12 @@
     End(false);
   }
   bool takes() const { return !ended_ && !no_more_ && open_.size() < kMostOpen; }
+  // Bytes that have arrived and were not read.
+  std::size_t unread_bytes() const {
+    int bytes = 0;
+    if (ended_ || ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &bytes) != 0) return 0;
+    return static_cast<std::size_t>(bytes);
+  }
   bool idle(Steady::time_point now) const { return open_.empty() && (no_more_ || now - used_ > kIdle); }
 
   Gateways& all_;
@@ -265,6 +273,7 @@
   }
   next_ = Steady::now();
   arrival_.Start(0ms);
+  next_sweep_ = next_ + kSweepEach;
   sweep_.Start(kSweepEach);
 }
 
@@ -570,8 +579,26 @@
   }
 }
 
+UnansweredAttempt Gateways::Describe(const Try& attempt, Steady::time_point now) const {
+  UnansweredAttempt described;
+  described.request_id = attempt.req;
+  described.class_name = options_.classes[static_cast<std::size_t>(attempt.request->cls)].name;
+  described.target = attempt.target;
+  described.sent = attempt.sent - began_;
+  described.due = attempt.due - began_;
+  described.counted = now - began_;
+  for (const auto& connection : attempt.gateway->connections) {
+    if (connection->id_ != attempt.connection) continue;
+    described.connection = connection->id_;
+    described.connected = connection->connected_;
+    described.unread_bytes = connection->unread_bytes();
+  }
+  return described;
+}
+
 void Gateways::Sweep() {
   const Steady::time_point now = Steady::now();
+  account_.worst_sweep_lag = std::max<Millis>(account_.worst_sweep_lag, now - next_sweep_);
   std::vector<std::function<void()>> due;
   std::erase_if(later_, [&](auto& entry) {
     if (entry.first > now) return false;
@@ -588,6 +615,7 @@
     }
     ClassAccount& account = account_.classes[static_cast<std::size_t>(open.request->cls)];
     ++(leaves ? account.left : account.unanswered);
+    if (!leaves && options_.on_unanswered) options_.on_unanswered(Describe(open, now));
     for (const auto& connection : open.gateway->connections) {
       if (connection->id_ == open.connection) connection->Leave(open.stream, true);
     }
@@ -605,6 +633,7 @@
     std::erase_if(gateway->connections, [](const auto& connection) { return connection->ended_; });
   }
   account_.open = tries_.size();
+  next_sweep_ = Steady::now() + kSweepEach;
   sweep_.Start(kSweepEach);
 }
 
--- a/src/standin/gateways.h
+++ b/src/standin/gateways.h
@@ -40,6 +40,18 @@
   double share = 1;  // Of the arrivals, beside the other tenants'.
 };
 
+// An attempt that got no answer in its time, as seen when it was counted. Times are relative to the start of
+// the stand-in.
+struct UnansweredAttempt {
+  std::uint64_t request_id = 0;
+  std::string class_name;
+  std::size_t target = 0;
+  std::uint64_t connection = 0;  // 0 if the connection has ended.
+  bool connected = false;        // Whether the connection was established.
+  std::size_t unread_bytes = 0;  // That have arrived on the connection and were not read.
+  Millis sent{0}, due{0}, counted{0};
+};
+
 struct GatewaysOptions {
   std::vector<std::string> targets;  // A gateway's list of nodes, tried in turn.
   int gateways = 3;
@@ -66,6 +78,8 @@
   // Tells its tries from those of all other runs; 0: drawn at the start. Guards against a node that takes a
   // second run with the same seed for repeats of the first, and fails them.
   std::uint64_t run = 0;
+  // Called for each attempt that is counted as unanswered, when it is counted.
+  std::function<void(const UnansweredAttempt& attempt)> on_unanswered;
 };
 
 struct ClassAccount {
@@ -95,8 +109,9 @@
 struct Account {
   std::vector<ClassAccount> classes;
   std::vector<TenantAccount> tenants;
-  Millis worst_lag{0};       // Of a send behind its schedule.
-  std::vector<float> waits;  // Milliseconds to each answer 'served'; at most 1,000,000, then a fair sample.
+  Millis worst_lag{0};        // Of a send behind its schedule.
+  Millis worst_sweep_lag{0};  // Of the check for overdue attempts behind its schedule.
+  std::vector<float> waits;   // Milliseconds to each answer 'served'; at most 1,000,000, then a fair sample.
   std::uint64_t connections = 0;
   std::uint64_t resent = 0;  // Requests that crossed a close.
   std::size_t open = 0;      // Tries that still wait.
@@ -167,12 +182,15 @@
   void Cut(Connection& connection);
   void Again(Gateway& gateway, const std::shared_ptr<Request>& request, Millis wait);
   void Sweep();
+  // Describes an attempt that got no answer in its time.
+  UnansweredAttempt Describe(const Try& attempt, net::Steady::time_point now) const;
 
   event_base* base_;
   GatewaysOptions options_;
   std::mt19937_64 draw_, owner_draw_;
   net::Steady::time_point began_ = net::Steady::now();
   net::Steady::time_point next_{};
+  net::Steady::time_point next_sweep_{};
   net::Timer arrival_;
   net::Timer sweep_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
--- a/src/standin/pool.cpp
+++ b/src/standin/pool.cpp
@@ -278,6 +278,11 @@
 
 std::string Pool::address(std::size_t place) const { return places_.at(place)->address; }
 
+Pool::RunState Pool::StateOf(std::uint64_t request_id) const {
+  if (runs_.contains(request_id)) return RunState::kRunning;
+  return over_.contains(request_id) ? RunState::kEnded : RunState::kNone;
+}
+
 void Pool::Accept(Place& place, evutil_socket_t fd) {
   ++counts_.links;
   place.ended.clear();
--- a/src/standin/pool.h
+++ b/src/standin/pool.h
@@ -87,6 +87,9 @@
   std::string address(std::size_t place = 0) const;
   const PoolCounts& counts() const { return counts_; }
   std::size_t running() const { return cores_.running(); }
+  // What became of a run. kNone: it was never started, or its end lies too far back to be known.
+  enum class RunState : std::uint8_t { kNone, kRunning, kEnded };
+  RunState StateOf(std::uint64_t request_id) const;
   // Carries out a fault now.
   void Cause(const PoolFault& fault);
 
--- a/tests/lab/rig_test.cpp
+++ b/tests/lab/rig_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <fstream>
 
 #include "cli/lab_rig.h"
 #include "cli/process.h"
@@ -37,12 +38,26 @@
   return assertion;
 }
 
-RigResult Play(const Scenario& scenario) {
+// Runs that the machine made void are repeated so often in all.
+constexpr int kMaxRuns = 3;
+
+// Keeps the logs and the result of a run that violated an assertion.
+void KeepEvidence(cli::TemporaryFolder& folder, RigResult& result) {
+  folder.Keep();
+  std::ofstream(folder.path() + "/result.json") << result.Json().dump(2) << '\n';
+  result.violations.push_back(std::string(result.is_void ? "void run, " : "") + "kept in " + folder.path());
+}
+
+enum class Evidence : std::uint8_t { kKeep, kDiscard };
+
+RigResult Play(const Scenario& scenario, Evidence evidence = Evidence::kKeep) {
   // A machine that is busy with other tests may hold up the rig itself: such a run is void, and played again.
-  for (int tries = 1;; ++tries) {
-    const cli::TemporaryFolder folder;
+  for (int runs = 1;; ++runs) {
+    cli::TemporaryFolder folder;
     RigResult result = RunRig(scenario, cli::ProgramsRig(HINGELINK_PROGRAM, folder.path()));
-    if (!result.is_void || tries == 3) return result;
+    if (result.is_void && runs < kMaxRuns) continue;
+    if (!result.violations.empty() && evidence == Evidence::kKeep) KeepEvidence(folder, result);
+    return result;
   }
 }
 
@@ -263,7 +278,7 @@
                          Must(Check::kBytes)};  // At most 0 a second.
   scenario.assertions.push_back(Must(Check::kServed));
   scenario.assertions.back().least = 1;
-  const RigResult result = Play(scenario);
+  const RigResult result = Play(scenario, Evidence::kDiscard);
   EXPECT_NE(Lines(result.violations).find("n1 never said that it is cut off"), std::string::npos);
   EXPECT_NE(Lines(result.violations).find("bytes a second"), std::string::npos);
   EXPECT_GT(result.relay.resets, 0u);
