Load balancing: endpoints with equal costs get equal shares

Cause: Policy::kProbePool compares all usable probes and keeps the first of those with the same cost, in the order of the list. SelectLeastLocalLoad() starts at a random candidate for this reason; SelectByProbes() did not.

Change: the comparison starts at a random probe.

Found while PoolGroupTest.ExecutionsAreDistributedToAllPoolsAndEachReturnsItsOwnResult was traced: a pool that lost the first requests of its slow start also loses every tie.

--- a/src/decide/load_balancing/endpoint_selector.cpp
+++ b/src/decide/load_balancing/endpoint_selector.cpp
@@ -123,8 +123,11 @@
   const std::vector<Probe> probes = UnexpiredProbes(now, candidates);
   if (probes.size() < 2) return SelectOfTwo(now, candidates, record);
   const double hot_load = HotLoad(probes);
+  // Starts at a random probe. Otherwise the first of several endpoints with the same cost is always chosen.
+  const std::size_t first = parts_.random() % probes.size();
   EndpointId best = kNoEndpoint;
-  for (const Probe& probe : probes) {
+  for (std::size_t i = 0; i < probes.size(); ++i) {
+    const Probe& probe = probes[(first + i) % probes.size()];
     const double cost = ProbeCost(now, probe, hot_load);
     if (best == kNoEndpoint || cost < record.cost) {
       record.alternative = best;
