Load balancing: a recovering endpoint is chosen by its share, also among idle ones

Callers saw: a worker pool that had just connected, and was well, got 1 to 5 of 200 executions while three others carried the rest; a node that depends on it loses a quarter of its capacity until the 2 s of max_unprobed_time or the 4 s of max_slow_start are over.

Cause: in slow start ProbeCost() was divided by the endpoint's traffic fraction, 1/13 at first. In a comparison that takes the smallest cost this is no share but an exclusion: a cost of 13 never wins while another endpoint is idle, and without responses the fraction does not grow. Which pool it hits is decided by the first delay of a few milliseconds: the pool that has 12 responses last stays behind.

Evidence: a trace of PoolGroupTest.ExecutionsAreDistributedToAllPoolsAndEachReturnsItsOwnResult (a trial with a log of each execution): in both of its red runs the pool was recovering with 2 or 3 responses, not ejected, connected, with a report of load 0 that was under 30 ms old, and the others healthy. Late connections, ejections and stale reports are ruled out by this.

Change: a recovering endpoint takes part in a comparison with the probability of its traffic fraction, and then at its own cost, as SelectOfTwo() draws it by weight. The new test in simulated time fails without the change (still recovering after 400 requests and 1 s) and passes with it.

--- a/src/decide/load_balancing/endpoint_selector.cpp
+++ b/src/decide/load_balancing/endpoint_selector.cpp
@@ -85,15 +85,20 @@
   return second;
 }
 
-std::vector<EndpointSelector::Probe> EndpointSelector::UnexpiredProbes(
-    Milliseconds now, const std::vector<EndpointId>& candidates) const {
+bool EndpointSelector::DrawAdmission(Milliseconds now, const Endpoint& endpoint) {
+  if (endpoint.state != EndpointState::kRecovering) return true;
+  return RandomFraction(parts_.random) < parts_.slow_start.TrafficFraction(now, endpoint);
+}
+
+std::vector<EndpointSelector::Probe> EndpointSelector::UsableProbes(
+    Milliseconds now, const std::vector<EndpointId>& candidates) {
   std::vector<Probe> probes;
   for (const EndpointId id : candidates) {
     const Endpoint& endpoint = parts_.endpoints.at(id);
     const bool is_expired =
         endpoint.reported_load < 0 || now - endpoint.reported_at > parts_.options.max_probe_age;
     const bool is_used_up = endpoint.report_uses >= static_cast<int>(parts_.options.max_probe_uses);
-    if (is_expired || is_used_up) continue;
+    if (is_expired || is_used_up || !DrawAdmission(now, endpoint)) continue;
     const double started = std::max(0.0, endpoint.net_starts - endpoint.net_starts_at_report);
     probes.push_back({id, (endpoint.reported_load + started) / endpoint.record.capacity});
   }
@@ -110,17 +115,15 @@
   return *quantile;
 }
 
-double EndpointSelector::ProbeCost(Milliseconds now, const Probe& probe, double hot_load) const {
+double EndpointSelector::ProbeCost(const Probe& probe, double hot_load) const {
+  if (probe.load > hot_load) return kHotCost + probe.load;
   const Endpoint& endpoint = parts_.endpoints.at(probe.id);
-  const double cost = probe.load > hot_load
-                          ? kHotCost + probe.load
-                          : endpoint.latency_ratio * std::max(1.0, probe.load + 1 / endpoint.record.capacity);
-  return cost / parts_.slow_start.TrafficFraction(now, endpoint);
+  return endpoint.latency_ratio * std::max(1.0, probe.load + 1 / endpoint.record.capacity);
 }
 
 EndpointId EndpointSelector::SelectByProbes(Milliseconds now, const std::vector<EndpointId>& candidates,
                                             ChoiceRecord& record) {
-  const std::vector<Probe> probes = UnexpiredProbes(now, candidates);
+  const std::vector<Probe> probes = UsableProbes(now, candidates);
   if (probes.size() < 2) return SelectOfTwo(now, candidates, record);
   const double hot_load = HotLoad(probes);
   // Starts at a random probe. Otherwise the first of several endpoints with the same cost is always chosen.
@@ -128,7 +131,7 @@
   EndpointId best = kNoEndpoint;
   for (std::size_t i = 0; i < probes.size(); ++i) {
     const Probe& probe = probes[(first + i) % probes.size()];
-    const double cost = ProbeCost(now, probe, hot_load);
+    const double cost = ProbeCost(probe, hot_load);
     if (best == kNoEndpoint || cost < record.cost) {
       record.alternative = best;
       record.alternative_cost = record.cost;
--- a/src/decide/load_balancing/endpoint_selector.h
+++ b/src/decide/load_balancing/endpoint_selector.h
@@ -52,11 +52,15 @@
                           EndpointId excluded);
   // The capacity of the endpoint, reduced during slow start.
   [[nodiscard]] double TrafficWeight(Milliseconds now, EndpointId id) const;
-  [[nodiscard]] std::vector<Probe> UnexpiredProbes(Milliseconds now,
-                                                   const std::vector<EndpointId>& candidates) const;
+  // Whether the endpoint takes part in a comparison: always, or in slow start with the probability of its
+  // traffic fraction. A higher cost instead would exclude it while others are idle, and without responses its
+  // share would not grow.
+  bool DrawAdmission(Milliseconds now, const Endpoint& endpoint);
+  // The reports that are recent, not used up, and of endpoints that take part in the comparison.
+  std::vector<Probe> UsableProbes(Milliseconds now, const std::vector<EndpointId>& candidates);
   // The load above which probes are hot.
   [[nodiscard]] double HotLoad(const std::vector<Probe>& probes) const;
-  [[nodiscard]] double ProbeCost(Milliseconds now, const Probe& probe, double hot_load) const;
+  [[nodiscard]] double ProbeCost(const Probe& probe, double hot_load) const;
 
   // The value that the policy compares. The endpoint with the smaller cost is chosen.
   [[nodiscard]] double Cost(Milliseconds now, const Endpoint& endpoint) const;
--- a/tests/decide/load_balancing/endpoint_selector_test.cpp
+++ b/tests/decide/load_balancing/endpoint_selector_test.cpp
@@ -72,5 +72,16 @@
   }
 }
 
+// Guards against a recovering endpoint that is never chosen while the others are healthy, so that it has no
+// responses by which its share could grow.
+TEST_P(EndpointSelectorTest, RecoveringEndpointIsHealthyWithinItsSlowStartAmongIdleOnes) {
+  node_.Reconnect(endpoint_);
+  for (int i = 0; i < 100; ++i) {
+    node_.ReportLoadOfAll(0);
+    RunWave();
+  }
+  EXPECT_EQ(node_.StateOf(endpoint_), EndpointState::kHealthy);
+}
+
 }  // namespace
 }  // namespace hingelink::decide
