Load balancing: a slow moment is forgotten within the base ejection time

Callers saw: a worker pool, well again after a moment of 10 to 40 ms, got one request in 2 s while its fair share was 100 a second; less than an ejected one gets, which is back after 1 s.

Cause: a choice compared the latency ratio as it stood at the endpoint's last response. An endpoint that is avoided has no responses, so one delayed sample (a busy machine is enough) stood until the 2 s of max_unprobed_time, and each request then moved it by a tenth. It counted from the first sample on, though min_responses says 8, and in Policy::kProbePool a difference of 1% decided, though the same file attributes a factor of 1.7 to random variation.

Evidence: in the traced red runs of the pool group's test a delay of 7 ms hit all four pools in the same moment; the three that got further requests came back to a ratio of 1, the fourth stood at 1.28 (one sample) and 1.57 (two) to the end, 300 ms later, with a fresh report of load 0.

Change: choices use a ratio that returns to 1 within base_ejection_time of the last response, counts from min_responses on, and in ProbeCost() only beyond random variation.

Also looked at: connections to a store are chosen by requests in flight alone, and nodes are not compared by latency; neither keeps such a figure.

--- a/src/decide/load_balancing/endpoint.h
+++ b/src/decide/load_balancing/endpoint.h
@@ -67,6 +67,9 @@
   double mean_latency_ms = 0;
   double latency_ratio = 1;    // Latency relative to the mean of all endpoints for requests of the same kind.
   double latency_samples = 0;  // Number of responses in the ratio, bounded.
+  // Like latency_ratio, but returns to 1 in time without responses. See LatencyTracker::RecentRatio().
+  double recent_latency_ratio = 1;
+  Milliseconds last_latency_at{0};  // The last response in the ratios.
 
   EndpointState state = EndpointState::kHealthy;
   EjectionCause ejection_cause = EjectionCause::kNone;
--- a/src/decide/load_balancing/endpoint_selector.cpp
+++ b/src/decide/load_balancing/endpoint_selector.cpp
@@ -20,8 +20,8 @@
 double EndpointSelector::ExpectedLatency(Milliseconds now, const Endpoint& endpoint) const {
   const double load_per_core = (parts_.load.EstimatedLoad(now, endpoint) + 1) / endpoint.record.capacity;
   // If there are no more requests than cores, each request has its own core and does not queue.
-  return std::max(1.0, load_per_core) * endpoint.latency_ratio +
-         kLoadCost * load_per_core * endpoint.latency_ratio;
+  return (std::max(1.0, load_per_core) + kLoadCost * load_per_core) *
+         parts_.latency.RecentRatio(now, endpoint);
 }
 
 double EndpointSelector::Cost(Milliseconds now, const Endpoint& endpoint) const {
@@ -36,11 +36,15 @@
   }
 }
 
-double EndpointSelector::LocalCost(const Endpoint& endpoint) {
-  const double ratio = endpoint.latency_ratio;
+double EndpointSelector::SignificantLatencyRatio(Milliseconds now, const Endpoint& endpoint) const {
+  const double ratio = parts_.latency.RecentRatio(now, endpoint);
   const bool is_significant = ratio > kMinLatencyDifference || ratio < 1 / kMinLatencyDifference;
+  return is_significant ? ratio : 1;
+}
+
+double EndpointSelector::LocalCost(Milliseconds now, const Endpoint& endpoint) const {
   return (static_cast<double>(endpoint.in_flight) + 0.5) / endpoint.record.capacity *
-         (is_significant ? ratio : 1);
+         SignificantLatencyRatio(now, endpoint);
 }
 
 double EndpointSelector::TrafficWeight(Milliseconds now, EndpointId id) const {
@@ -73,7 +77,7 @@
   const bool has_no_report = UsesLoadReports(parts_.options.policy) && is_stale(first) && is_stale(second);
   const auto cost = [&](EndpointId id) {
     const Endpoint& endpoint = parts_.endpoints.at(id);
-    return has_no_report ? LocalCost(endpoint) : Cost(now, endpoint);
+    return has_no_report ? LocalCost(now, endpoint) : Cost(now, endpoint);
   };
   record.cost = cost(first);
   if (second == kNoEndpoint) return first;
@@ -115,10 +119,10 @@
   return *quantile;
 }
 
-double EndpointSelector::ProbeCost(const Probe& probe, double hot_load) const {
+double EndpointSelector::ProbeCost(Milliseconds now, const Probe& probe, double hot_load) const {
   if (probe.load > hot_load) return kHotCost + probe.load;
   const Endpoint& endpoint = parts_.endpoints.at(probe.id);
-  return endpoint.latency_ratio * std::max(1.0, probe.load + 1 / endpoint.record.capacity);
+  return SignificantLatencyRatio(now, endpoint) * std::max(1.0, probe.load + 1 / endpoint.record.capacity);
 }
 
 EndpointId EndpointSelector::SelectByProbes(Milliseconds now, const std::vector<EndpointId>& candidates,
@@ -131,7 +135,7 @@
   EndpointId best = kNoEndpoint;
   for (std::size_t i = 0; i < probes.size(); ++i) {
     const Probe& probe = probes[(first + i) % probes.size()];
-    const double cost = ProbeCost(probe, hot_load);
+    const double cost = ProbeCost(now, probe, hot_load);
     if (best == kNoEndpoint || cost < record.cost) {
       record.alternative = best;
       record.alternative_cost = record.cost;
--- a/src/decide/load_balancing/endpoint_selector.h
+++ b/src/decide/load_balancing/endpoint_selector.h
@@ -7,6 +7,7 @@
 
 #include "decide/load_balancing/choice.h"
 #include "decide/load_balancing/endpoint_set.h"
+#include "decide/load_balancing/latency_tracker.h"
 #include "decide/load_balancing/load_balancer_options.h"
 #include "decide/load_balancing/load_estimator.h"
 #include "decide/load_balancing/slow_start.h"
@@ -22,6 +23,7 @@
     const LoadBalancerOptions& options;
     EndpointSet& endpoints;
     const LoadEstimator& load;
+    const LatencyTracker& latency;
     const SlowStart& slow_start;
     const RandomSource& random;
   };
@@ -60,15 +62,18 @@
   std::vector<Probe> UsableProbes(Milliseconds now, const std::vector<EndpointId>& candidates);
   // The load above which probes are hot.
   [[nodiscard]] double HotLoad(const std::vector<Probe>& probes) const;
-  [[nodiscard]] double ProbeCost(const Probe& probe, double hot_load) const;
+  [[nodiscard]] double ProbeCost(Milliseconds now, const Probe& probe, double hot_load) const;
 
   // The value that the policy compares. The endpoint with the smaller cost is chosen.
   [[nodiscard]] double Cost(Milliseconds now, const Endpoint& endpoint) const;
   // Expected latency of one more request in relative units: the latency ratio scaled by the load per core.
   [[nodiscard]] double ExpectedLatency(Milliseconds now, const Endpoint& endpoint) const;
+  // The latency ratio by which endpoints are compared, or 1 if it differs from 1 by no more than random
+  // variation.
+  [[nodiscard]] double SignificantLatencyRatio(Milliseconds now, const Endpoint& endpoint) const;
   // The cost while the reports of both candidates are stale: the requests of this node per unit of capacity,
-  // weighted by the latency ratio if that differs from 1 by more than random variation.
-  [[nodiscard]] static double LocalCost(const Endpoint& endpoint);
+  // weighted by the significant latency ratio.
+  [[nodiscard]] double LocalCost(Milliseconds now, const Endpoint& endpoint) const;
 
   Parts parts_;
   std::size_t next_round_robin_ = 0;
--- a/src/decide/load_balancing/latency_tracker.cpp
+++ b/src/decide/load_balancing/latency_tracker.cpp
@@ -22,15 +22,29 @@
 
 }  // namespace
 
-void LatencyTracker::OnSuccess(Endpoint& endpoint, std::uint32_t request_kind, Milliseconds elapsed) {
+void LatencyTracker::OnSuccess(Milliseconds now, Endpoint& endpoint, std::uint32_t request_kind,
+                               Milliseconds elapsed) {
   const double latency_ms = std::max(kMinLatencyMs, elapsed.count());
   double& kind_mean_ms = mean_ms_by_kind_.try_emplace(request_kind, latency_ms).first->second;
   kind_mean_ms += kOverallWeight * (latency_ms - kind_mean_ms);
   UpdateMean(mean_ms_, latency_ms, kOverallWeight);
   UpdateMean(endpoint.mean_latency_ms, latency_ms, kEndpointWeight);
   endpoint.latency_samples = std::min(endpoint.latency_samples + 1, kMaxRatioSamples);
-  endpoint.latency_ratio += (latency_ms / kind_mean_ms - endpoint.latency_ratio) /
-                            std::max(kMinRatioSamples, endpoint.latency_samples);
+  const double ratio = latency_ms / kind_mean_ms;
+  const double weight = 1 / std::max(kMinRatioSamples, endpoint.latency_samples);
+  endpoint.latency_ratio += weight * (ratio - endpoint.latency_ratio);
+  const double faded_ratio = FadedRatio(now, endpoint);
+  endpoint.recent_latency_ratio = faded_ratio + weight * (ratio - faded_ratio);
+  endpoint.last_latency_at = now;
+}
+
+double LatencyTracker::RecentRatio(Milliseconds now, const Endpoint& endpoint) const {
+  return endpoint.latency_samples < options_.min_responses ? 1 : FadedRatio(now, endpoint);
+}
+
+double LatencyTracker::FadedRatio(Milliseconds now, const Endpoint& endpoint) const {
+  const double age = (now - endpoint.last_latency_at) / options_.base_ejection_time;
+  return 1 + (endpoint.recent_latency_ratio - 1) * std::clamp(1 - age, 0.0, 1.0);
 }
 
 }  // namespace hingelink::decide
--- a/src/decide/load_balancing/load_balancer.cpp
+++ b/src/decide/load_balancing/load_balancer.cpp
@@ -15,12 +15,14 @@
                            RandomSource random, SubsetFunction subset)
     : options_(options),
       random_(std::move(random)),
+      latency_(options_),
       slow_start_(options_, latency_, random_),
       endpoints_({std::move(self), std::move(zone)}, options_.subset_size, std::move(subset), slow_start_),
       load_(options_, endpoints_),
       selector_({.options = options_,
                  .endpoints = endpoints_,
                  .load = load_,
+                 .latency = latency_,
                  .slow_start = slow_start_,
                  .random = random_}),
       outliers_({.options = options_,
@@ -169,7 +171,7 @@
   const bool is_success = outcome == RequestOutcome::kSuccess;
   OutlierDetector::CountResponse(endpoint, outcome);
   if (is_success) {
-    latency_.OnSuccess(endpoint, request.request_kind, elapsed);
+    latency_.OnSuccess(now, endpoint, request.request_kind, elapsed);
     endpoint.recovery_successes += 1;
   }
   if (endpoint.state == EndpointState::kHalfOpen) {
--- a/src/decide/load_balancing/outlier_detector.cpp
+++ b/src/decide/load_balancing/outlier_detector.cpp
@@ -143,6 +143,7 @@
       endpoint.half_open_successes = 0;
       endpoint.latency_samples = 0;
       endpoint.latency_ratio = 1;
+      endpoint.recent_latency_ratio = 1;
       endpoint.error_rate = 0;
     }
     if (endpoint.state == EndpointState::kEjected)
--- a/src/decide/load_balancing/slow_start.cpp
+++ b/src/decide/load_balancing/slow_start.cpp
@@ -21,6 +21,7 @@
   endpoint.error_rate = 0;
   endpoint.latency_samples = 0;
   endpoint.latency_ratio = 1;
+  endpoint.recent_latency_ratio = 1;
   endpoint.reported_load = -1;
   endpoint.pending_polls.clear();
   // The time in which the endpoint can serve one request of each node that shares it.
--- a/tests/decide/load_balancing/endpoint_selector_test.cpp
+++ b/tests/decide/load_balancing/endpoint_selector_test.cpp
@@ -72,6 +72,15 @@
   }
 }
 
+// Guards against an endpoint that is avoided for one slow response, with no further response to correct it.
+TEST_P(EndpointSelectorTest, EndpointThatWasSlowForAMomentHasItsShareAfterTheBaseEjectionTime) {
+  while (node_.Snapshot(endpoint_).latency_ratio < 1.2) RunWave(endpoint_, 4 * BalancedNode::kLatency);
+  RunWavesFor(options_.base_ejection_time);
+  const double before = RequestsTo(endpoint_);
+  RunWavesFor(options_.base_ejection_time);
+  EXPECT_GT(RequestsTo(endpoint_) - before, FairShareOf(options_.base_ejection_time) / 2);
+}
+
 // Guards against a recovering endpoint that is never chosen while the others are healthy, so that it has no
 // responses by which its share could grow.
 TEST_P(EndpointSelectorTest, RecoveringEndpointIsHealthyWithinItsSlowStartAmongIdleOnes) {
@@ -83,5 +92,15 @@
   EXPECT_EQ(node_.StateOf(endpoint_), EndpointState::kHealthy);
 }
 
+// Guards against an endpoint that is avoided for one slow response while it has too few responses for its
+// latency to be evaluated.
+TEST_P(EndpointSelectorTest, EndpointWhoseFirstResponseWasSlowHasItsShare) {
+  node_.Reconnect(endpoint_);
+  while (node_.Snapshot(endpoint_).latency_ratio < 1.2) RunWave(endpoint_, 2 * BalancedNode::kLatency);
+  const double before = RequestsTo(endpoint_);
+  RunWavesFor(options_.max_slow_start / 2);
+  EXPECT_GT(RequestsTo(endpoint_) - before, FairShareOf(options_.max_slow_start / 2) / 4);
+}
+
 }  // namespace
 }  // namespace hingelink::decide
