Log: an unread standard error no longer stops the event loop

Callers would see: no answer at all from a node, neither to requests nor to health checks, for as long as the reader of its standard error (a log collector, a supervisor) stands still.

A pipe holds 64 KiB; connection-end lines alone may come at 100 a second, which fills it in under 10 s. A thread there is no way out: run must have one thread (tests/guard).

Evidence: found while causes for a node that is silent for 1 to 2 s were sought (Rig.ThreePartsHoldTheirViewsAndMeetAgain); forced by a full pipe in two new tests. Before: no line returns within 5 s, and within 10 s. After: both pass, and queued lines follow in order once the pipe is read.

Change: StandardErrorSink asks by poll() whether a line is accepted at once, keeps up to 4,096 lines otherwise, drops the oldest beyond, and counts them in LostLineCount(). A regular file as standard error still waits for the disk.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -2,7 +2,6 @@
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/rotating_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -14,11 +13,13 @@
 #include <stdexcept>
 #include <utility>
 
+#include "log/standard_error_sink.h"
+
 namespace hingelink::log {
 namespace {
 
-// Lines that wait to be written to the disk, about half a megabyte. When the queue is full, the oldest lines
-// are dropped.
+// Lines that wait to be written to the disk or to standard error, about half a megabyte. When the queue is
+// full, the oldest lines are dropped.
 constexpr std::size_t kMaxQueuedLines = 4096;
 // Limit of a text line, and of each text value of a JSON line, in bytes.
 constexpr std::size_t kMaxLineBytes = 1024;
@@ -30,6 +31,7 @@
   Options options;
   std::shared_ptr<spdlog::details::thread_pool> pool;
   std::shared_ptr<spdlog::logger> logger;
+  std::shared_ptr<StandardErrorSink> standard_error = std::make_shared<StandardErrorSink>(kMaxQueuedLines);
   std::deque<std::string> recent;
   LogBudget budget;
   std::atomic<std::uint64_t> lost{0};
@@ -37,7 +39,7 @@
   State() { UseStandardError(); }
 
   void UseStandardError() {
-    logger = std::make_shared<spdlog::logger>("hingelink", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    logger = std::make_shared<spdlog::logger>("hingelink", standard_error);
     SetUpLogger();
   }
   void SetUpLogger() {
@@ -236,6 +238,7 @@
   State& state = GlobalState();
   const std::lock_guard lock(state.mutex);
   state.UseStandardError();
+  state.logger->flush();
   state.pool.reset();  // Joins the thread of the pool after it has written the last queued line.
 }
 
@@ -248,7 +251,7 @@
 std::uint64_t LostLineCount() {
   State& state = GlobalState();
   const std::lock_guard lock(state.mutex);
-  return state.lost + (state.pool ? state.pool->overrun_counter() : 0);
+  return state.lost + state.standard_error->lost() + (state.pool ? state.pool->overrun_counter() : 0);
 }
 
 bool LogBudget::TryConsume(Time now) {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -72,11 +72,12 @@
 void SetLevel(Level level);
 Level CurrentLevel();
 // Writes the queued lines to the file and closes it. Blocks until the disk has accepted them. Later events go
-// to standard error.
+// to standard error. Lines that are queued for standard error are written as far as it accepts them at once.
 void Close();
 // Returns the last lines written, oldest first, at most Options::recent of them.
 std::vector<std::string> RecentLines();
-// Returns how many lines have been lost because the disk was slow or full.
+// Returns how many lines have been lost because the disk was slow or full, or because standard error was not
+// read.
 std::uint64_t LostLineCount();
 
 // Returns `text` with control characters and bytes that are not valid UTF-8 replaced by \xNN. The result can
--- a/tests/log/log_test.cpp
+++ b/tests/log/log_test.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
+#include <climits>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -133,4 +135,78 @@
   close(reader);
 }
 
+// A pipe in place of standard error, full and unread until Read() is called.
+class UnreadStandardError {
+ public:
+  UnreadStandardError() {
+    EXPECT_EQ(pipe2(ends_, O_CLOEXEC), 0);
+    fcntl(ends_[1], F_SETFL, O_NONBLOCK);
+    const std::string filler(PIPE_BUF, 'x');
+    while (write(ends_[1], filler.data(), filler.size()) > 0) filled_ += filler.size();
+    fcntl(ends_[1], F_SETFL, 0);
+    dup2(ends_[1], STDERR_FILENO);
+  }
+  ~UnreadStandardError() {
+    dup2(saved_, STDERR_FILENO);
+    for (const int fd : {ends_[0], ends_[1], saved_}) close(fd);
+  }
+  // Returns the next bytes behind those that filled the pipe, until the pipe is empty.
+  std::string Read() {
+    fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    char bytes[65536];
+    for (ssize_t size = 0; (size = read(ends_[0], bytes, sizeof bytes)) > 0;)
+      text.append(bytes, static_cast<std::size_t>(size));
+    const std::size_t filler = std::min(filled_, text.size());
+    filled_ -= filler;
+    return text.substr(filler);
+  }
+
+ private:
+  int saved_ = dup(STDERR_FILENO);
+  int ends_[2] = {-1, -1};
+  std::size_t filled_ = 0;
+};
+
+// Guards against an event loop that stops, and answers no caller, while nobody reads its standard error.
+TEST_F(Log, ReturnsWithoutWaitingWhileStandardErrorIsUnread) {
+  UnreadStandardError standard_error;
+  log::Configure({});
+  std::atomic<int> written{0};
+  std::thread writer([&written] {
+    for (; written < 10; ++written) log::Info("line", {{"i", written.load()}});
+  });
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (written < 10 && std::chrono::steady_clock::now() < deadline) std::this_thread::yield();
+  EXPECT_EQ(written, 10);
+  std::string text = standard_error.Read();  // Also lets a writer go on that waits.
+  writer.join();
+  // The queued lines follow once the pipe is read, in their order.
+  log::Info("line", {{"i", 10}});
+  text += standard_error.Read();
+  for (int i = 0; i < 10; ++i)
+    EXPECT_LT(text.find("line i=" + std::to_string(i) + '\n'),
+              text.find("line i=" + std::to_string(i + 1) + '\n'))
+        << i;
+}
+
+// Guards against a queue that grows as long as nobody reads standard error.
+TEST_F(Log, DropsTheOldestLinesWhileStandardErrorIsUnread) {
+  UnreadStandardError standard_error;
+  log::Configure({});
+  const auto lost_before = log::LostLineCount();
+  std::atomic<bool> done{false};
+  std::thread writer([&done] {
+    for (int i = 0; i < 20'000; ++i) log::Info("line", {{"i", i}, {"fill", std::string(100, 'x')}});
+    done = true;
+  });
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!done && std::chrono::steady_clock::now() < deadline) std::this_thread::yield();
+  EXPECT_TRUE(done);
+  EXPECT_GT(log::LostLineCount() - lost_before, 10'000u);
+  while (!done) standard_error.Read();
+  writer.join();
+  standard_error.Read();
+}
+
 }  // namespace
