Stand-ins: report each attempt at its end; deployment harness: single processes

For the soak of restarts: gateways report how each attempt ended (served, refused, failed, unanswered, lost) with its times, may ignore the wish to send no more, and take the slack by which they judge as an option; the rig uses the same report. The deployment harness starts processes without waiting for them, keeps earlier worker pools for the audit, and lets a test edit the whole configuration and the load.

--- a/src/lab/rig/rig.cpp
+++ b/src/lab/rig/rig.cpp
@@ -418,12 +418,14 @@
       gateways.rate = Rate(scenario_.load.front().share);
       gateways.retries = 1;
       gateways.seed = scenario_.seed;
-      gateways.on_unanswered = [this](const standin::UnansweredAttempt& attempt) { Describe(attempt); };
+      gateways.on_attempt_ended = [this](const standin::AttemptReport& attempt) {
+        if (attempt.outcome == standin::AttemptOutcome::kUnanswered) Describe(attempt);
+      };
       gateways_ = std::make_unique<standin::Gateways>(standins_.base(), gateways);
     });
   }
   // On the loop of the stand-ins.
-  void Describe(const standin::UnansweredAttempt& attempt) {
+  void Describe(const standin::AttemptReport& attempt) {
     if (result_.unanswered.size() >= kMaxUnansweredDescribed) return;
     UnansweredReport report;
     report.attempt = attempt;
@@ -767,8 +769,8 @@
           {"connected", attempt.connected},
           {"unread_bytes", attempt.unread_bytes},
           {"at_ms", Round(scenario_time.count())},
-          {"since_sent_ms", Round((attempt.counted - attempt.sent).count())},
-          {"past_due_ms", Round((attempt.counted - attempt.due).count())},
+          {"since_sent_ms", Round(Millis(attempt.ended - attempt.sent).count())},
+          {"past_due_ms", Round(Millis(attempt.ended - attempt.due).count())},
           {"run", run},
           {"sweep_lag_ms", Round(sweep_lag.count())}};
 }
--- a/src/lab/rig/rig.h
+++ b/src/lab/rig/rig.h
@@ -52,7 +52,7 @@
 
 // An attempt that a gateway counted as unanswered, with what the rig knew of it then.
 struct UnansweredReport {
-  standin::UnansweredAttempt attempt;
+  standin::AttemptReport attempt;
   std::string node;
   standin::Pool::RunState run_state = standin::Pool::RunState::kNone;
   Millis scenario_time{0};
--- a/src/standin/gateways.cpp
+++ b/src/standin/gateways.cpp
@@ -23,7 +23,6 @@
 using net::Steady;
 
 constexpr std::size_t kMostOpen = 32;  // Requests on one connection, by the protocol.
-constexpr auto kSlack = 100ms;         // Past the time of a try, before it counts as unanswered.
 constexpr auto kCrossing = 50ms;       // A request that crosses a close is sent again within this.
 constexpr auto kSweepEach = 5ms;
 constexpr auto kIdle = 10s;  // After which a gateway closes a connection.
@@ -196,14 +195,14 @@
     setsockopt(bufferevent_getfd(bev_.get()), SOL_SOCKET, SO_LINGER, &now, sizeof now);
     End(false);
   }
-  bool takes() const { return !ended_ && !no_more_ && open_.size() < kMostOpen; }
+  bool takes() const;
   // Bytes that have arrived and were not read.
   std::size_t unread_bytes() const {
     int bytes = 0;
     if (ended_ || ioctl(bufferevent_getfd(bev_.get()), FIONREAD, &bytes) != 0) return 0;
     return static_cast<std::size_t>(bytes);
   }
-  bool idle(Steady::time_point now) const { return open_.empty() && (no_more_ || now - used_ > kIdle); }
+  bool idle(Steady::time_point now) const;
 
   Gateways& all_;
   Gateway& gateway_;
@@ -239,6 +238,7 @@
 struct Gateways::Gateway {
   std::uint32_t via = 0;
   bool heeds = true;
+  bool ignores_no_more = false;
   std::size_t turn = 0;
   std::map<std::size_t, Steady::time_point> away_until;  // By target.
   std::map<std::size_t, double> signal;                  // By target: the last value told.
@@ -246,6 +246,15 @@
   std::vector<std::unique_ptr<Connection>> connections;
 };
 
+bool Gateways::Connection::takes() const {
+  return !ended_ && (!no_more_ || gateway_.ignores_no_more) && open_.size() < kMostOpen;
+}
+
+bool Gateways::Connection::idle(Steady::time_point now) const {
+  const bool is_left = no_more_ && !gateway_.ignores_no_more;
+  return open_.empty() && (is_left || now - used_ > kIdle);
+}
+
 Gateways::Gateways(event_base* base, const GatewaysOptions& options)
     : base_(base),
       options_(options),
@@ -269,6 +278,7 @@
     gateways_.push_back(std::make_unique<Gateway>());
     gateways_.back()->via = static_cast<std::uint32_t>(i + 1);
     gateways_.back()->heeds = i < std::lround(options_.heeds * options_.gateways);
+    gateways_.back()->ignores_no_more = i < std::lround(options_.ignores_no_more * options_.gateways);
     gateways_.back()->turn = static_cast<std::size_t>(i);
   }
   next_ = Steady::now();
@@ -488,8 +498,11 @@
       }
     });
   }
+  Report(over, code == 0   ? AttemptOutcome::kServed
+               : code == 1 ? AttemptOutcome::kRefused
+                           : AttemptOutcome::kFailed);
   if (answer.signal >= 0) gateway.signal[over.target] = answer.signal;
-  if (now > over.due + kSlack) ++account.late;
+  if (now > over.due + options_.slack) ++account.late;
   if (code == 0) {
     ++account.served;
     const auto made_by = [&](std::uint64_t req) { return answer.body == ResultOf(req, over.request->body); };
@@ -497,7 +510,7 @@
     if (load.keyed ? std::none_of(reqs.begin(), reqs.end(), made_by) : !made_by(over.req)) ++account.wrong;
     if (std::exchange(over.request->served, true)) {
       ++account.again;
-    } else if (now <= over.due + kSlack) {
+    } else if (now <= over.due + options_.slack) {
       ++account.good;
       account.work_served += over.request->work;
       if (!over.request->owner.empty()) ++OwnerAccount(over.request->owner).good;
@@ -573,27 +586,30 @@
       continue;
     }
     ++(connection.connected_ ? account.lost : account.not_sent);
+    if (connection.connected_) Report(over, AttemptOutcome::kLost);
     const ClassLoad& load = options_.classes[static_cast<std::size_t>(over.request->cls)];
     if (connection.connected_ && load.keyed) over.request->stays = over.target;
     if (load.repeats) Again(gateway, over.request, kReachAgain);
   }
 }
 
-UnansweredAttempt Gateways::Describe(const Try& attempt, Steady::time_point now) const {
-  UnansweredAttempt described;
-  described.request_id = attempt.req;
-  described.class_name = options_.classes[static_cast<std::size_t>(attempt.request->cls)].name;
-  described.target = attempt.target;
-  described.sent = attempt.sent - began_;
-  described.due = attempt.due - began_;
-  described.counted = now - began_;
+void Gateways::Report(const Try& attempt, AttemptOutcome outcome) const {
+  if (!options_.on_attempt_ended) return;
+  AttemptReport report;
+  report.outcome = outcome;
+  report.request_id = attempt.req;
+  report.class_name = options_.classes[static_cast<std::size_t>(attempt.request->cls)].name;
+  report.target = attempt.target;
+  report.sent = attempt.sent;
+  report.due = attempt.due;
+  report.ended = Steady::now();
   for (const auto& connection : attempt.gateway->connections) {
     if (connection->id_ != attempt.connection) continue;
-    described.connection = connection->id_;
-    described.connected = connection->connected_;
-    described.unread_bytes = connection->unread_bytes();
+    report.connection = connection->ended_ ? 0 : connection->id_;
+    report.connected = connection->connected_;
+    report.unread_bytes = connection->unread_bytes();
   }
-  return described;
+  options_.on_attempt_ended(report);
 }
 
 void Gateways::Sweep() {
@@ -609,13 +625,13 @@
   for (auto it = tries_.begin(); it != tries_.end();) {
     const Try& open = it->second;
     const bool leaves = open.leaves <= now && now < open.due;
-    if (!leaves && now <= open.due + kSlack) {
+    if (!leaves && now <= open.due + options_.slack) {
       ++it;
       continue;
     }
     ClassAccount& account = account_.classes[static_cast<std::size_t>(open.request->cls)];
     ++(leaves ? account.left : account.unanswered);
-    if (!leaves && options_.on_unanswered) options_.on_unanswered(Describe(open, now));
+    if (!leaves) Report(open, AttemptOutcome::kUnanswered);
     for (const auto& connection : open.gateway->connections) {
       if (connection->id_ == open.connection) connection->Leave(open.stream, true);
     }
--- a/src/standin/gateways.h
+++ b/src/standin/gateways.h
@@ -40,16 +40,25 @@
   double share = 1;  // Of the arrivals, beside the other tenants'.
 };
 
-// An attempt that got no answer in its time, as seen when it was counted. Times are relative to the start of
-// the stand-in.
-struct UnansweredAttempt {
+// How an attempt ended, other than by its caller's own doing.
+enum class AttemptOutcome : std::uint8_t {
+  kServed,
+  kRefused,
+  kFailed,
+  kUnanswered,  // No answer came in its time.
+  kLost,        // Its connection ended with no answer.
+};
+
+// An attempt at its end. Times are those of the steady clock.
+struct AttemptReport {
+  AttemptOutcome outcome = AttemptOutcome::kServed;
   std::uint64_t request_id = 0;
   std::string class_name;
   std::size_t target = 0;
   std::uint64_t connection = 0;  // 0 if the connection has ended.
   bool connected = false;        // Whether the connection was established.
   std::size_t unread_bytes = 0;  // That have arrived on the connection and were not read.
-  Millis sent{0}, due{0}, counted{0};
+  net::Steady::time_point sent{}, due{}, ended{};
 };
 
 struct GatewaysOptions {
@@ -62,6 +71,7 @@
   double rate = 50;                 // First tries a second, of all gateways together.
   Millis length{0};                 // Arrivals end after this; 0: they go on until Stop().
   int retries = 0;                  // Further tries of one request.
+  Millis slack{100};                // Past the time of an attempt, before it counts as unanswered or late.
   double heeds = 1;                 // Share of gateways that heed holdoff, nomore and signal.
   double leaves = 0;  // Share of requests whose caller gives up early (type 2); a keyed one tries again.
   Millis leaves_within{0};  // ... within this time of the send; 0: of its whole time.
@@ -78,8 +88,10 @@
   // Tells its tries from those of all other runs; 0: drawn at the start. Guards against a node that takes a
   // second run with the same seed for repeats of the first, and fails them.
   std::uint64_t run = 0;
-  // Called for each attempt that is counted as unanswered, when it is counted.
-  std::function<void(const UnansweredAttempt& attempt)> on_unanswered;
+  // Share of gateways that send requests also on connections on which they were asked to send no more.
+  double ignores_no_more = 0;
+  // Called for each attempt when it ends as one of the outcomes.
+  std::function<void(const AttemptReport& attempt)> on_attempt_ended;
 };
 
 struct ClassAccount {
@@ -182,8 +194,8 @@
   void Cut(Connection& connection);
   void Again(Gateway& gateway, const std::shared_ptr<Request>& request, Millis wait);
   void Sweep();
-  // Describes an attempt that got no answer in its time.
-  UnansweredAttempt Describe(const Try& attempt, net::Steady::time_point now) const;
+  // Reports an attempt that ends now to on_attempt_ended.
+  void Report(const Try& attempt, AttemptOutcome outcome) const;
 
   event_base* base_;
   GatewaysOptions options_;
--- a/tests/node/deployment.h
+++ b/tests/node/deployment.h
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -50,8 +51,20 @@
     Cores cores{.count = 4, .crowd_at = 50};
     int extra_cold_calls = 0;       // Additional upstream calls of an execution while the cores are cold.
     double tenant_quota_rps = 500;  // Quota of each tenant.
+    bool starts_nodes = true;       // If not, the test starts the processes itself.
     // Edits the settings of a node before the node starts.
     std::function<void(nlohmann::ordered_json&)> edit_settings = {};
+    // Edits the whole configuration of a node, after its settings.
+    std::function<void(nlohmann::ordered_json&)> edit_config = {};
+    // Edits the load of the gateways before it starts.
+    std::function<void(GatewaysOptions&)> edit_load = {};
+  };
+
+  // A process of a node.
+  struct Process {
+    pid_t pid = -1;
+    std::string config;  // Path of its configuration.
+    std::string log;     // Path of the file that receives its output.
   };
 
   explicit Deployment(const Options& options) : options_(options) {
@@ -60,7 +73,7 @@
       registry_.emplace(host_.base(), RegistryOptions{});
     });
     nodes_.resize(static_cast<std::size_t>(options.nodes));
-    for (std::size_t i = 0; i < nodes_.size(); ++i) StartNode(i);
+    for (std::size_t i = 0; options.starts_nodes && i < nodes_.size(); ++i) StartNode(i);
   }
   ~Deployment() {
     for (Node& node : nodes_) {
@@ -71,7 +84,10 @@
     }
     host_.Do([&] {
       gateways_.reset();
-      for (Node& node : nodes_) node.pool.reset();
+      for (Node& node : nodes_) {
+        node.pool.reset();
+        node.earlier_pools.clear();
+      }
       store.reset();
       registry_.reset();
     });
@@ -104,6 +120,7 @@
       load.leaves_within = options_.abandoned_within;
       load.seed = 11;
       load.run = 77;
+      if (options_.edit_load) options_.edit_load(load);
       gateways_.emplace(host_.base(), load);
     });
   }
@@ -136,8 +153,11 @@
   std::string Violations(const AuditOptions& audit = {}) {
     std::string lines;
     host_.Do([&] {
-      std::vector<PoolCounts> pools = counts_of_ended_pools_;
-      for (const Node& node : nodes_) pools.push_back(node.pool->counts());
+      std::vector<PoolCounts> pools;
+      for (const Node& node : nodes_) {
+        pools.push_back(node.pool->counts());
+        for (const auto& pool : node.earlier_pools) pools.push_back(pool->counts());
+      }
       for (const std::string& line : Audit({gateways_->account()}, pools, store->counts(), audit))
         lines += line + '\n';
     });
@@ -194,16 +214,25 @@
   // Starts a second process of a node whose first process is stopped. Waits until the second process logs
   // that the handover is overdue.
   void StartSecondProcess(std::size_t i) { StartProcess(i, 1, nodes_[i].pids.size(), "handover-overdue"); }
+  // Waits until the oldest process of a node has ended. Returns its exit status, or -1 on timeout or if a
+  // signal ended it.
+  int AwaitOldestProcess(std::size_t i, std::chrono::milliseconds timeout) {
+    std::vector<pid_t>& pids = nodes_[i].pids;
+    const auto end = Steady::now() + timeout;
+    int status = 0;
+    while (waitpid(pids.front(), &status, WNOHANG) == 0) {
+      if (Steady::now() > end) return -1;
+      std::this_thread::sleep_for(1ms);
+    }
+    pids.erase(pids.begin());
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
   // Kills a node and restarts it with a new worker pool, as the platform does. Neither keeps any state.
   void KillAndRestart(std::size_t i) {
     Node& node = nodes_[i];
     kill(node.pids.back(), SIGKILL);
     waitpid(node.pids.back(), nullptr, 0);
     node.pids.pop_back();
-    host_.Do([&] {
-      counts_of_ended_pools_.push_back(node.pool->counts());
-      node.pool.reset();
-    });
     StartNode(i);
   }
   // Starts a second process of a node, hands over to it, and stops the first process and waits for its exit.
@@ -216,6 +245,50 @@
     node.pids.erase(node.pids.begin());
   }
 
+  // ---- Single processes, for tests that send their signals themselves ----
+  // Starts a process of node `i` on the pool address with this index, and does not wait for it.
+  Process SpawnProcess(std::size_t i, std::size_t pool_address) {
+    Node& node = nodes_[i];
+    const std::string path =
+        node.folder->path() + "/config-" + std::to_string(node.spawned_processes++) + ".json";
+    Process process{.config = path, .log = path + ".log"};
+    std::ofstream(path) << ConfigOf(i, pool_address);
+    process.pid = cli::StartDetached(HINGELINK_PROGRAM, {"serve", "--config", path},
+                                     {{"TMPDIR", node.folder->path()}}, process.log);
+    node.pids.push_back(process.pid);
+    return process;
+  }
+  // Waits until the process has logged the event. False on timeout.
+  static bool AwaitEvent(const Process& process, const std::string& event,
+                         std::chrono::milliseconds timeout) {
+    const auto end = Steady::now() + timeout;
+    while (LogOf(process).find(event) == std::string::npos) {
+      if (Steady::now() > end) return false;
+      std::this_thread::sleep_for(5ms);
+    }
+    return true;
+  }
+  static std::string LogOf(const Process& process) {
+    std::ifstream file(process.log);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+  }
+  // The configuration with which a process of node `i` starts.
+  nlohmann::ordered_json ConfigOf(std::size_t i, std::size_t pool_address);
+  // To be called when a process has ended and was waited for.
+  void ForgetProcess(std::size_t i, pid_t pid) { std::erase(nodes_[i].pids, pid); }
+  // Gives node `i` an empty folder and a new worker pool. Earlier pools are kept for the audit.
+  void ResetNode(std::size_t i);
+  // Whether a worker pool of node `i` has started this execution. Use it within RunOnHost() only.
+  bool HasRun(std::size_t i, std::uint64_t request_id) const {
+    const Node& node = nodes_[i];
+    const auto ran = [request_id](const std::unique_ptr<Pool>& pool) {
+      return pool->StateOf(request_id) != Pool::RunState::kNone;
+    };
+    return ran(node.pool) || std::any_of(node.earlier_pools.begin(), node.earlier_pools.end(), ran);
+  }
+  Registry& registry() { return *registry_; }
+  std::size_t size() const { return nodes_.size(); }
+
   // The simulated store. Use it within RunOnHost() only.
   std::optional<Store> store;
 
@@ -225,20 +298,13 @@
     std::string listen;
     std::unique_ptr<cli::TemporaryFolder> folder;
     std::vector<pid_t> pids;  // The running processes, oldest first.
+    std::vector<std::unique_ptr<Pool>> earlier_pools;
+    int spawned_processes = 0;
   };
 
   // Starts a node with an empty folder and a new worker pool.
   void StartNode(std::size_t i) {
-    Node& node = nodes_[i];
-    node.folder = std::make_unique<cli::TemporaryFolder>();
-    host_.Do([&] {
-      PoolOptions pool;
-      pool.listen = {"127.0.0.1:0", "127.0.0.1:0"};
-      pool.cores = options_.cores;
-      pool.cold_calls = options_.extra_cold_calls;
-      pool.call_patience = Millis(6'000);
-      node.pool = std::make_unique<Pool>(host_.base(), pool);
-    });
+    ResetNode(i);
     StartProcess(i, 0, 0);
   }
   // Starts a process of node `i` that uses the pool address with this index. `process_number` is the number
@@ -246,56 +312,9 @@
   // "pool-bound" for the first process of a node and "handover-done" for a later one.
   void StartProcess(std::size_t i, std::size_t pool_address, std::size_t process_number,
                     std::string ready_event = {}) {
-    Node& node = nodes_[i];
-    cli::Sample sample;
-    sample.name = "n" + std::to_string(i);
-    if (node.listen.empty()) node.listen = OwnAddress();
-    sample.listen = node.listen;
-    nlohmann::ordered_json config;
-    host_.Do([&] {
-      sample.pool = node.pool->address(pool_address);
-      sample.registry = registry_->address();
-      config = cli::SampleConfig(sample);
-      config["store"] = store->address();
-    });
-    config["ops"] = "127.0.0.1:0";
-    auto& settings = config["settings"];
-    const auto cls = [this](const char* name, const char* repeat) {
-      return nlohmann::ordered_json{
-          {"name", name}, {"goalTimeMs", 2000.0}, {"hardLimitMs", 4000.0},         {"repeat", repeat},
-          {"worth", 1.0}, {"lateShare", 0.2},     {"windowMs", options_.window_ms}};
-    };
-    settings["requestClasses"] = {cls("search", "safe"), cls("match", "safe"), cls("claim", "keyed")};
-    settings["tenants"] = nlohmann::ordered_json::array();
-    for (const TenantLoad& t : options_.tenants)
-      settings["tenants"].push_back(
-          {{"name", t.name}, {"portion", 0.5}, {"quotaRps", options_.tenant_quota_rps}});
-    settings["overShareWorth"] = 0.05;
-    settings["peersTotal"] = options_.nodes;
-    auto& specifics = settings["specifics"];
-    specifics["passesDeadline"] = false;
-    specifics["dependsOn"] = "shared";
-    specifics["callShare"] = options_.upstream_call_quota;
-    specifics["callsOverMs"] = 5000.0;
-    specifics["lingersMs"] = 200.0;
-    specifics["classCalls"] = {true, false, true};
-    specifics["worthWithout"] = {0.5, 0.0, 0.0};
-    if (options_.edit_settings) options_.edit_settings(settings);
-    const std::string path = node.folder->path() + "/config-" + std::to_string(process_number) + ".json";
-    const std::string log = path + ".log";
-    std::ofstream(path) << config;
-    node.pids.push_back(cli::StartDetached(HINGELINK_PROGRAM, {"serve", "--config", path},
-                                           {{"TMPDIR", node.folder->path()}}, log));
     if (ready_event.empty()) ready_event = process_number == 0 ? "pool-bound" : "handover-done";
-    const auto end = Steady::now() + 20s;
-    std::string text;
-    while (Steady::now() < end) {
-      std::ifstream file(log);
-      text.assign(std::istreambuf_iterator<char>(file), {});
-      if (text.find(ready_event) != std::string::npos) break;
-      std::this_thread::sleep_for(5ms);
-    }
-    ASSERT_NE(text.find(ready_event), std::string::npos) << text;
+    const Process process = SpawnProcess(i, pool_address);
+    ASSERT_TRUE(AwaitEvent(process, ready_event, 20s)) << LogOf(process);
   }
 
   Options options_;
@@ -303,9 +322,62 @@
   std::optional<Registry> registry_;
   std::vector<Node> nodes_;
   std::optional<Gateways> gateways_;
-  std::vector<PoolCounts> counts_of_ended_pools_;
 };
 
+inline void Deployment::ResetNode(std::size_t i) {
+  Node& node = nodes_[i];
+  node.folder = std::make_unique<cli::TemporaryFolder>();
+  host_.Do([&] {
+    PoolOptions pool;
+    pool.listen = {"127.0.0.1:0", "127.0.0.1:0"};
+    pool.cores = options_.cores;
+    pool.cold_calls = options_.extra_cold_calls;
+    pool.call_patience = Millis(6'000);
+    if (node.pool) node.earlier_pools.push_back(std::move(node.pool));
+    node.pool = std::make_unique<Pool>(host_.base(), pool);
+  });
+}
+
+inline nlohmann::ordered_json Deployment::ConfigOf(std::size_t i, std::size_t pool_address) {
+  Node& node = nodes_[i];
+  cli::Sample sample;
+  sample.name = "n" + std::to_string(i);
+  if (node.listen.empty()) node.listen = OwnAddress();
+  sample.listen = node.listen;
+  nlohmann::ordered_json config;
+  host_.Do([&] {
+    sample.pool = node.pool->address(pool_address);
+    sample.registry = registry_->address();
+    config = cli::SampleConfig(sample);
+    config["store"] = store->address();
+  });
+  config["ops"] = "127.0.0.1:0";
+  auto& settings = config["settings"];
+  const auto cls = [this](const char* name, const char* repeat) {
+    return nlohmann::ordered_json{
+        {"name", name}, {"goalTimeMs", 2000.0}, {"hardLimitMs", 4000.0},         {"repeat", repeat},
+        {"worth", 1.0}, {"lateShare", 0.2},     {"windowMs", options_.window_ms}};
+  };
+  settings["requestClasses"] = {cls("search", "safe"), cls("match", "safe"), cls("claim", "keyed")};
+  settings["tenants"] = nlohmann::ordered_json::array();
+  for (const TenantLoad& t : options_.tenants)
+    settings["tenants"].push_back(
+        {{"name", t.name}, {"portion", 0.5}, {"quotaRps", options_.tenant_quota_rps}});
+  settings["overShareWorth"] = 0.05;
+  settings["peersTotal"] = options_.nodes;
+  auto& specifics = settings["specifics"];
+  specifics["passesDeadline"] = false;
+  specifics["dependsOn"] = "shared";
+  specifics["callShare"] = options_.upstream_call_quota;
+  specifics["callsOverMs"] = 5000.0;
+  specifics["lingersMs"] = 200.0;
+  specifics["classCalls"] = {true, false, true};
+  specifics["worthWithout"] = {0.5, 0.0, 0.0};
+  if (options_.edit_settings) options_.edit_settings(settings);
+  if (options_.edit_config) options_.edit_config(config);
+  return config;
+}
+
 }  // namespace hingelink::standin
 
 #endif  // HINGELINK_TESTS_NODE_DEPLOYMENT_H_
