Handover: what a crashed successor may have run is not run again

Callers saw: a write that ran twice.

Cause: when a successor ends without notice, its predecessor takes the clients back. It knew which keys the successor was to serve only as 'served elsewhere', and dropped that the moment it resumed; a repeat of a request that the successor had run was then run again.

Forced in HardDeployment.KeyThatRanAtACrashedSuccessorDoesNotRunAgain: with the program as it was, the repeat is answered 'served' by a second execution.

Change: after the loss of a successor without notice, keys without a record in this process stay 'served elsewhere' for the longest window of the classes: their attempts fail, as during a handover, since a rejection would say that the key never ran. Keys that this process knows are served as before, and so are classes without keys.

Not covered: another successor that takes over within that window does not know of the loss.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -103,6 +103,11 @@
       gauge_timer_(base_.get(), [this] { pool_->PollGauges(); }),
       // With a predecessor, the node accepts clients only once its worker pool has connected.
       listening_(!handover_.has_siblings()),
+      successor_keys_timer_(base_.get(),
+                            [this] {
+                              successor_keys_lost_ = false;
+                              UpdateSiblingKeys();
+                            }),
       drain_timer_(base_.get(), [] {}) {
   ConnectStore(config_.store_address);
   OnSiblingLoadChanged();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -119,6 +119,9 @@
   void OnSiblingLoadChanged();
   // Tells the request table whether the idempotency keys of the siblings are known.
   void UpdateSiblingKeys();
+  // To be called when a successor has ended without notice. Until no caller repeats a request that the
+  // successor may have executed, keys without a record in this process are not executed.
+  void OnSuccessorKeysLost();
   // Calls `each` for every idempotency key that this process retains.
   void ReportKeys(const net::Handover::KeyVisitor& each) const;
   // Sends the state of a key to the successor, if there is one.
@@ -187,6 +190,9 @@
   bool drain_notice_sent_ = false;  // The policy has received the DrainNotice, or needs none.
   bool listening_;
   bool handed_over_ = false;
+  // A successor ended without notice, and the keys that it executed are unknown until the timer expires.
+  bool successor_keys_lost_ = false;
+  net::Timer successor_keys_timer_;
   bool stopped_ = false;  // The policy is no longer called; new requests are rejected.
   // When the supervisor kills the process at the latest; set by StartDrain().
   Steady::time_point kill_at_{};
--- a/tests/node/deployment_hard_test.cpp
+++ b/tests/node/deployment_hard_test.cpp
@@ -216,5 +216,39 @@
   EXPECT_EQ(deployment.CountsOfPool(0).run_twice, 0u);
 }
 
+// Guards against a write that runs twice: at a successor that then crashes, and again at the predecessor,
+// which takes the clients back and has no record of the key.
+TEST(HardDeployment, KeyThatRanAtACrashedSuccessorDoesNotRunAgain) {
+  constexpr std::uint64_t kWindowMs = 3'000;
+  Deployment deployment({.nodes = 1, .window_ms = kWindowMs});
+  // The predecessor stays as long as it has an execution in flight.
+  ScriptedGateway in_flight(deployment.ListenOf(0));
+  in_flight.Write(ScriptedGateway::Request(
+      1, "00000000000000d0", WorkBody(Millis(3'000), "u"),
+      {{"kind", "match"}, {"owner", "west"}, {"timeout", std::string(ScriptedGateway::kOmitted)}}));
+  const Deployment::Process successor = deployment.SpawnProcess(0, 1);
+  ASSERT_TRUE(Deployment::AwaitEvent(successor, "handover-done", 20s));
+  const std::string body = WorkBody(Millis(5), "w", {.calls = 0, .once = true});
+  {
+    ScriptedGateway caller(deployment.ListenOf(0));
+    caller.Write(Claim(1, "00000000000000d1", body));
+    EXPECT_EQ(caller.ReadAnswer(1, 0).body, ResultOf(0xd1, body));
+  }
+  const std::uint64_t crashed_at = ScriptedGateway::UnixMs();
+  kill(successor.pid, SIGKILL);
+  waitpid(successor.pid, nullptr, 0);
+  deployment.ForgetProcess(0, successor.pid);
+  ScriptedGateway retry(deployment.ListenOf(0));
+  retry.Write(Claim(1, "00000000000000d2", body));
+  retry.ReadAnswer(1, 2);  // Failed: no rejection, which would say that the key never ran.
+  EXPECT_EQ(deployment.CountsOfPool(0).run_twice, 0u);
+  // After the window nobody repeats what the successor ran, and keys are executed again. The timer of the
+  // node starts when it sees the crash, which a busy machine may delay.
+  WaitUntil(crashed_at + kWindowMs + 1'500);
+  const std::string later = WorkBody(Millis(5), "v");
+  retry.Write(Claim(2, "00000000000000d3", later));
+  EXPECT_EQ(retry.ReadAnswer(2, 0).body, ResultOf(0xd3, later));
+}
+
 }  // namespace
 }  // namespace hingelink::standin
