--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -15,7 +15,7 @@
 // How long before the kill the node closes its listener and asks its callers to send no new requests.
 constexpr auto kCloseListenerLead = 500ms;
 // After a handover, a draining process exits at the latest after the longest deadline of a request class plus
-// this time, and before it is killed.
+// this time.
 constexpr auto kExitDelayAfterLongestDeadline = 700ms;
 // A longest deadline above this value counts as this value when that exit time is calculated.
 constexpr auto kMaxDeadlineConsidered = 3000ms;
@@ -55,9 +55,8 @@
     drain_notice_sent_ = true;
     double longest = 0;
     for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline_ms);
-    const Millis needed =
+    const Millis stop =
         std::min(Millis(longest), Millis(kMaxDeadlineConsidered)) + kExitDelayAfterLongestDeadline;
-    const Millis stop = std::min(needed, Millis(config_.drain_timeout));
     kill_at_ = Steady::now() + std::chrono::duration_cast<Steady::duration>(stop);
     log::Info("leave", {{"successor", true}, {"stop_ms", std::llround(stop.count())}});
     return true;
