--- a/tests/soak/attempt_rules.cpp
+++ b/tests/soak/attempt_rules.cpp
@@ -89,6 +89,7 @@
     if (++kind.count == 1) kind.first = Describe(attempt, start);
   }
   std::vector<std::string> lines;
+  lines.reserve(found.size());
   for (const auto& [wrong, kind] : found)
     lines.push_back(std::to_string(kind.count) + " " + wrong + " (" + kind.first + ")");
   return lines;
--- a/tests/soak/player.cpp
+++ b/tests/soak/player.cpp
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <set>
 
@@ -395,8 +396,11 @@
     const sockaddr_in address = net::ParseAddress(deployment_.ListenOf(operation.node));
     for (int i = 0; i < count; ++i) {
       const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-      connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
       idle_clients_.push_back(fd);
+      // The connection is established later.
+      const bool is_started = connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 ||
+                              errno == EINPROGRESS;
+      if (!is_started) return Violate("n" + std::to_string(operation.node) + " takes no connections");
     }
     Wait(operation.delay / 2);
     constexpr char kHalfHeader[] = {0, 0, 0, 64, 0};
