Handover: the confirmation of all keys is never dropped; known keys are replayed

Callers saw: with more than 16 KiB of keys and results at the old process, an upgrade made the new one refuse every keyed attempt from 1 s after `ready` until the old one ended, also claims whose results it had been told.

Cause: `leaving`, which follows the keys, was sent as a report, and reports are dropped while more than 16 KiB are unsent. Dropped load reports were not repeated either while the load stayed as it was. `ready` took the same way.

Change: lines of the protocol that must arrive are always sent, each once on a channel (a second `ready` is ignored, which bounds what a sibling can make this process buffer). Reports are still dropped, and a dropped load report is sent later. While the confirmation is overdue, attempts with a key that has a record here are answered from it; unknown keys are rejected as before.

--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -27,8 +27,8 @@
 constexpr timeval kListenerTimeout{2, 0};
 // Timeout for the predecessor's confirmation that it accepts no more clients.
 constexpr auto kDrainConfirmationTimeout = 1s;
-// A sibling that hangs and reads nothing is sent no more lines (other than keys) once this many bytes are
-// unsent.
+// A sibling that hangs and reads nothing is sent no more reports (load and learned values) once this many
+// bytes are unsent.
 constexpr std::size_t kMaxUnsentLineBytes = 64 * proto::kMaxHandoverLineBytes;
 // Once this many bytes are unsent, idempotency keys are sent without their results.
 constexpr std::size_t kMaxUnsentResultBytes = 4 << 20;
@@ -111,9 +111,14 @@
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   }
 
-  // Drops the line if the sibling hangs and reads nothing, which bounds the unsent bytes.
-  void SendLine(std::string_view line) {
-    if (UnsentBytes(bev_.get()) < kMaxUnsentLineBytes) Send(bev_.get(), line);
+  // Sends a line that the sibling must receive. At most a few such lines are sent on each channel.
+  void SendLine(std::string_view line) { Send(bev_.get(), line); }
+  // Drops the line and returns false while too many bytes are unsent, which bounds the reports to a sibling
+  // that reads nothing.
+  bool SendReport(std::string_view line) {
+    if (UnsentBytes(bev_.get()) >= kMaxUnsentLineBytes) return false;
+    Send(bev_.get(), line);
+    return true;
   }
   // Always sends the key, so that no request with this key is executed by both processes. The number of keys
   // is bounded. Leaves out the result if too many bytes are unsent.
@@ -140,10 +145,11 @@
   }
 
   const bool to_predecessor_;
-  proto::LoadMessage load_;    // As last reported by the sibling.
-  bool accepts_keys_ = false;  // The sibling is a successor that accepts KeyMessages.
-  bool ready_ = false;         // The sibling is a successor that accepts clients.
-  bool exiting_ = false;       // The sibling reported that it exits.
+  proto::LoadMessage load_;       // As last reported by the sibling.
+  proto::LoadMessage sent_load_;  // As last reported to the sibling, which assumes no load before.
+  bool accepts_keys_ = false;     // The sibling is a successor that accepts KeyMessages.
+  bool ready_ = false;            // The sibling is a successor that accepts clients.
+  bool exiting_ = false;          // The sibling reported that it exits.
 
  private:
   // Processes all complete lines that have arrived.
@@ -270,14 +276,13 @@
   // Sent right after the listener, so that the successor has the learned values before its worker pool is
   // connected and it begins to admit requests.
   for (const proto::LearnedClassMessage& learned : events_.learned()) {
-    if (const auto line = proto::EncodeLearnedClassMessage(learned)) channels_.back()->SendLine(*line);
+    if (const auto line = proto::EncodeLearnedClassMessage(learned)) channels_.back()->SendReport(*line);
   }
   events_.siblings_load_changed();
 }
 
 void Handover::Add(Descriptor fd, bool to_predecessor) {
   channels_.push_back(std::make_unique<Channel>(*this, std::move(fd), to_predecessor));
-  last_sent_load_ = {};  // The new sibling assumes no load; the next SendLoad() sends the actual one.
 }
 
 void Handover::SendReady() {
@@ -291,7 +296,8 @@
 
 void Handover::OnLine(Channel& channel, std::string_view line) {
   if (line == proto::kHandoverReady && !channel.to_predecessor_) {
-    channel.ready_ = true;
+    // Only the first one counts, so that a sibling cannot make this process send its keys again and again.
+    if (std::exchange(channel.ready_, true)) return;
     // The keys are sent before the confirmation that the successor may execute requests with these keys.
     if (channel.accepts_keys_) {
       events_.send_keys([&channel](const proto::KeyMessage& key, std::string_view result) {
@@ -369,10 +375,10 @@
 }
 
 void Handover::SendLoad(const proto::LoadMessage& load) {
-  if (load == last_sent_load_) return;
-  last_sent_load_ = load;
-  const std::string line = proto::EncodeLoadMessage(load);
-  for (const auto& channel : channels_) channel->SendLine(line);
+  for (const auto& channel : channels_) {
+    if (load == channel->sent_load_) continue;
+    if (channel->SendReport(proto::EncodeLoadMessage(load))) channel->sent_load_ = load;
+  }
 }
 
 void Handover::Sweep() { ended_.clear(); }
--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -74,7 +74,7 @@
   std::size_t sibling_count() const { return channels_.size(); }
   // The sum of the loads that the siblings last reported.
   proto::LoadMessage siblings_load() const;
-  // Reports the load of this process to all siblings if the load differs from the last report.
+  // Reports the load of this process to each sibling if the load differs from the last report to it.
   void SendLoad(const proto::LoadMessage& load);
 
   // Frees the channels that ended since the last call. Must not be called from within a callback.
@@ -100,7 +100,6 @@
   bool takeover_complete_ = true;
   bool keys_known_ = true;
   bool handed_over_ = false;  // A successor accepts clients.
-  proto::LoadMessage last_sent_load_;
 };
 
 }  // namespace hingelink::net
--- a/src/node/request_table_keys.cpp
+++ b/src/node/request_table_keys.cpp
@@ -46,7 +46,7 @@
 
 std::optional<FinalAnswer> RequestTable::KeyError(const IdempotencyKey& key, std::uint64_t content_hash,
                                                   SteadyTime arrived) {
-  if (sibling_keys_ == SiblingKeys::kUnavailable) {
+  if (sibling_keys_ == SiblingKeys::kUnavailable && !keys_.IsKnown(key)) {
     FinalAnswer answer = Rejected();
     if (settings_.sends_retry_after) answer.retry_after = kKeysUnavailableRetryAfter;
     return answer;
--- a/tests/node/deployment.h
+++ b/tests/node/deployment.h
@@ -203,6 +203,8 @@
     node.pids.pop_back();
   }
   std::string ListenOf(std::size_t i) const { return nodes_[i].listen; }
+  // The folder that the processes of a node share.
+  std::string FolderOf(std::size_t i) const { return nodes_[i].folder->path(); }
   Gateways& gateways() { return *gateways_; }
   std::map<std::string, TenantAccount> CountsByTenant() {
     std::map<std::string, TenantAccount> counts;
@@ -329,7 +331,7 @@
   node.folder = std::make_unique<cli::TemporaryFolder>();
   host_.Do([&] {
     PoolOptions pool;
-    pool.listen = {"127.0.0.1:0", "127.0.0.1:0"};
+    pool.listen = {"127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"};
     pool.cores = options_.cores;
     pool.cold_calls = options_.extra_cold_calls;
     pool.call_patience = Millis(6'000);
--- a/tests/node/request_table_test.cpp
+++ b/tests/node/request_table_test.cpp
@@ -140,5 +140,32 @@
   EXPECT_TRUE(table_.empty());
 }
 
+// Guards against the rejection of a request that has run: while the predecessor's confirmation is overdue,
+// attempts with a key that it has already reported are answered from the report.
+TEST_F(DeferredAttemptTest, ReportedKeyIsReplayedWhileTheConfirmationIsOverdue) {
+  Send(1, "first", "one");
+  ASSERT_EQ(ArrivalsAt(arrived_at_ + 1ms).size(), 0u);
+  table_.SetSiblingKeys(SiblingKeys::kKnown);
+  ASSERT_EQ(ArrivalsAt(arrived_at_ + 2ms).size(), 1u);
+  // The content hash of an attempt with the same class and body.
+  const std::uint64_t content_hash =
+      table_.keys().UpdateOf({1, 1}, RequestTable::SteadyTime::clock::now()).content_hash;
+  table_.OnKeyUpdate({.key = {2, 2},
+                      .content_hash = content_hash,
+                      .state = KeyState::kServed,
+                      .remaining = Millis(5000),
+                      .result = "result"});
+  table_.SetSiblingKeys(SiblingKeys::kUnavailable);
+  Send(2, "first", "one");
+  const auto arrivals = ArrivalsAt(arrived_at_ + 3ms);
+  ASSERT_EQ(arrivals.size(), 1u);
+  EXPECT_NE(arrivals[0].original, 0u);
+  EXPECT_TRUE(front_.answers.empty());
+  Send(3, "first", "one");
+  EXPECT_TRUE(ArrivalsAt(arrived_at_ + 4ms).empty());
+  ASSERT_EQ(front_.answers.size(), 1u);
+  EXPECT_EQ(front_.answers[0], std::pair(3u, core::Verdict::kRejected));
+}
+
 }  // namespace
 }  // namespace hingelink::node
