Listener: a process that accepts again lifts the filter of a sibling that drained

Callers saw: no connection to the node was ever established after SIGTERM to a process while its successor was starting, or to a successor while its predecessor lived and took the clients back.

Cause: a drain attaches a filter that drops all packets to the listening socket (Listener::Stop). The filter is a property of the socket, which both processes share, so it outlives the process that set it.

Change: Listener::Resume() detaches the filter.

Evidence: NodeHandoverTest.SuccessorAcceptsClientsAfterItsPredecessorHasDrained and .PredecessorAcceptsClientsAfterItsSuccessorHasDrained on the code before: the client hangs in connect() (ended after 100 s each); with the change all 8 variants pass, in 0.1 s each.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -32,6 +32,13 @@
   setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
 }
 
+// Reverts RefuseHandshakes(). The filter belongs to the socket, which the processes of a node share: one that
+// has drained leaves it to the process that accepts the clients next.
+void AllowHandshakes(evutil_socket_t listener) {
+  const int unused = 0;
+  setsockopt(listener, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+}
+
 }  // namespace
 
 Listener::Listener(event_base* base, const sockaddr_in& address, Descriptor handed_over,
@@ -78,7 +85,9 @@
 
 void Listener::Resume() {
   paused_ = false;
-  if (listener_) evconnlistener_enable(listener_.get());
+  if (!listener_) return;
+  AllowHandshakes(fd());
+  evconnlistener_enable(listener_.get());
 }
 
 void Listener::Stop(const std::function<void()>& before_close) {
--- a/tests/node/handover_integration_test.cpp
+++ b/tests/node/handover_integration_test.cpp
@@ -157,4 +157,40 @@
   alone.AwaitReady();
 }
 
+// Guards against a node that no client can reach: a process that drains stops the handshakes on its listening
+// socket, which its successor shares.
+TEST_P(NodeHandoverTest, SuccessorAcceptsClientsAfterItsPredecessorHasDrained) {
+  const SharedDirectory directory;
+  ForkedNode predecessor(directory.path, First());
+  PoolLink old_link(predecessor.pool, 0);
+  AcceptCommands(old_link);
+  ForkedNode successor(directory.path, Successor());
+  predecessor.Signal(SIGTERM);
+  ASSERT_EQ(predecessor.Wait(), 0);
+  PoolLink link(successor.pool, 0);
+  AcceptCommands(link);
+  successor.AwaitReady();
+  Gateway caller(successor.port);
+  caller.Write(Gateway::HealthCheck(1));
+  ASSERT_EQ(caller.Read().type, kHealthResponseFrame);
+}
+
+// The same in the other direction: the successor drains, and the predecessor takes its clients back.
+TEST_P(NodeHandoverTest, PredecessorAcceptsClientsAfterItsSuccessorHasDrained) {
+  const SharedDirectory directory;
+  ForkedNode predecessor(directory.path, First());
+  PoolLink old_link(predecessor.pool, 0);
+  Gateway in_flight = StartRequest(predecessor, old_link);
+  ForkedNode successor(directory.path, Successor());
+  PoolLink link(successor.pool, 0);
+  AcceptCommands(link);
+  successor.AwaitReady();
+  successor.Signal(SIGTERM);
+  ASSERT_EQ(successor.Wait(), 0);
+  predecessor.AwaitReady();
+  Gateway caller(predecessor.port);
+  caller.Write(Gateway::HealthCheck(1));
+  ASSERT_EQ(caller.Read().type, kHealthResponseFrame);
+}
+
 }  // namespace
