Handover: a process ends only once its siblings have read all it owes them

Cause: the predecessor left its loop as soon as nothing was in hand, with keys and results still in the buffer of the channel; and the successor took the end of the channel for the proof that it knew all keys. Only `leaving`, which follows the keys, is one. The same rule was broken by a predecessor that drained before its successor was ready (it sent no keys), by one that was killed before its report, by a process that confirmed keys of its own predecessor that it had never got, and by a successor whose report met an ended predecessor: the write error ended the channel with the keys unread.

Change: before it ends, on every path, a process sends its keys and `leaving` (or `ends`), closes its sending side and waits until the siblings have read to the end and close. After a handover it accepts clients again if the successor ends before it has taken all. `keys` is said when the channel opens. `leaving` is sent once the process knows all keys itself. An end without it makes keyed attempts without a record fail for the longest window, as behind a crashed successor. After a write error the channel is read to its end.

Bound: the wait ends after 2 s and before the kill time; tested with a successor that reads nothing. Unsent bytes are bounded as before: keys of the table, 4 MiB of results.

The pool stand-in gives results of a wanted length.

--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -101,42 +101,40 @@
     if (!bev_) throw std::runtime_error("libevent cannot create a bufferevent for a handover");
     bufferevent_priority_set(bev_.get(), kHighPriority);
     bufferevent_setcb(
-        bev_.get(), [](bufferevent*, void* self) { static_cast<Channel*>(self)->ReadLines(); }, nullptr,
-        [](bufferevent*, short what, void* self) {
-          auto* channel = static_cast<Channel*>(self);
-          channel->handover_.EndChannel(*channel, (what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
-        },
-        this);
+        bev_.get(), [](bufferevent*, void* self) { static_cast<Channel*>(self)->ReadLines(); },
+        [](bufferevent*, void* self) { static_cast<Channel*>(self)->OnOutputSent(); },
+        [](bufferevent*, short what, void* self) { static_cast<Channel*>(self)->OnEvent(what); }, this);
     bufferevent_setwatermark(bev_.get(), EV_READ, 0, 2 * proto::kMaxKeyResultBytes);
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
   }
 
   // Sends a line that the sibling must receive. At most a few such lines are sent on each channel.
-  void SendLine(std::string_view line) { Send(bev_.get(), line); }
+  void SendLine(std::string_view line) {
+    if (!closing_) Send(bev_.get(), line);
+  }
   // Drops the line and returns false while too many bytes are unsent, which bounds the reports to a sibling
   // that reads nothing.
   bool SendReport(std::string_view line) {
-    if (UnsentBytes(bev_.get()) >= kMaxUnsentLineBytes) return false;
+    if (closing_ || UnsentBytes(bev_.get()) >= kMaxUnsentLineBytes) return false;
     Send(bev_.get(), line);
     return true;
   }
   // Always sends the key, so that no request with this key is executed by both processes. The number of keys
   // is bounded. Leaves out the result if too many bytes are unsent.
   void SendKey(proto::KeyMessage line, std::string_view result) {
+    if (closing_) return;
     line.has_result = line.has_result && UnsentBytes(bev_.get()) < kMaxUnsentResultBytes;
     Send(bev_.get(), proto::EncodeKeyMessage(line));
     if (!line.has_result) return;
     Send(bev_.get(), result);
     Send(bev_.get(), "\n");
   }
-  // Reports that this process exits. Writes to the socket directly, as the event loop no longer runs.
-  void SendExiting() {
-    const auto size = static_cast<ssize_t>(proto::kHandoverExiting.size());
-    if (UnsentBytes(bev_.get()) > 0) return;
-    if (send(bufferevent_getfd(bev_.get()), proto::kHandoverExiting.data(), proto::kHandoverExiting.size(),
-             MSG_NOSIGNAL | MSG_DONTWAIT) != size) {
-      log::Warn("handover-exit-not-sent");
-    }
+  bool all_sent() const { return UnsentBytes(bev_.get()) == 0; }
+  // Closes the sending side once all output is sent. Input is still read, because closing a UNIX socket with
+  // unread input resets the connection.
+  void CloseWhenSent() {
+    closing_ = true;
+    if (all_sent()) OnOutputSent();
   }
   // No callback is called after this.
   void Stop() {
@@ -148,10 +146,21 @@
   proto::LoadMessage load_;       // As last reported by the sibling.
   proto::LoadMessage sent_load_;  // As last reported to the sibling, which assumes no load before.
   bool accepts_keys_ = false;     // The sibling is a successor that accepts KeyMessages.
+  bool keys_sent_ = false;        // The successor was sent all keys that this process retained.
+  bool keys_confirmed_ = false;   // The successor was sent the confirmation that it knows all keys.
   bool ready_ = false;            // The sibling is a successor that accepts clients.
   bool exiting_ = false;          // The sibling reported that it exits.
 
  private:
+  void OnOutputSent() {
+    if (closing_) shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
+  }
+  void OnEvent(short what) {
+    // The sibling has closed and takes no more output. Lines that it sent before may still be unread, so the
+    // channel ends with the end of the input.
+    if ((what & BEV_EVENT_ERROR) != 0 && (what & BEV_EVENT_WRITING) != 0) return;
+    handover_.EndChannel(*this, (what & BEV_EVENT_EOF) != 0 ? "peer-closed" : "reset");
+  }
   // Processes all complete lines that have arrived.
   void ReadLines() {
     for (;;) {
@@ -178,6 +187,7 @@
 
   Handover& handover_;
   BufferPtr bev_;
+  bool closing_ = false;  // Nothing more is sent, and the sending side is closed once all output is sent.
 };
 
 Handover::Handover(event_base* base, const std::string& folder, Events events)
@@ -203,14 +213,7 @@
   server_ = Descriptor();
 }
 
-Handover::~Handover() {
-  // The predecessor must not accept clients again when this process exits, since a successor of this process
-  // accepts them.
-  for (const auto& channel : channels_) {
-    if (handed_over_ && channel->to_predecessor_) channel->SendExiting();
-  }
-  StopAcceptingSuccessors();
-}
+Handover::~Handover() { StopAcceptingSuccessors(); }
 
 Descriptor Handover::RequestListener() {
   sockaddr_un address;
@@ -283,12 +286,13 @@
 
 void Handover::Add(Descriptor fd, bool to_predecessor) {
   channels_.push_back(std::make_unique<Channel>(*this, std::move(fd), to_predecessor));
+  // Sent at once, because the predecessor may exit before this process is ready.
+  if (to_predecessor) channels_.back()->SendLine(proto::kHandoverKeys);
 }
 
 void Handover::SendReady() {
   for (const auto& channel : channels_) {
     if (!channel->to_predecessor_) continue;
-    channel->SendLine(proto::kHandoverKeys);
     channel->SendLine(proto::kHandoverReady);
     drain_timeout_.Start(kDrainConfirmationTimeout);
   }
@@ -296,17 +300,7 @@
 
 void Handover::OnLine(Channel& channel, std::string_view line) {
   if (line == proto::kHandoverReady && !channel.to_predecessor_) {
-    // Only the first one counts, so that a sibling cannot make this process send its keys again and again.
-    if (std::exchange(channel.ready_, true)) return;
-    // The keys are sent before the confirmation that the successor may execute requests with these keys.
-    if (channel.accepts_keys_) {
-      events_.send_keys([&channel](const proto::KeyMessage& key, std::string_view result) {
-        channel.SendKey(key, result);
-      });
-    }
-    channel.SendLine(proto::kHandoverDraining);
-    handed_over_ = true;
-    events_.successor_ready();
+    OnSuccessorReady(channel);
   } else if (line == proto::kHandoverDraining && channel.to_predecessor_) {
     drain_timeout_.Stop();
     takeover_complete_ = keys_known_ = true;
@@ -325,6 +319,61 @@
   }
 }
 
+void Handover::OnSuccessorReady(Channel& channel) {
+  // Only the first line counts, so that a sibling cannot make this process send its keys again and again.
+  if (exiting_ || std::exchange(channel.ready_, true)) return;
+  SendKeys(channel);
+  ConfirmKeys(channel);
+  handed_over_ = true;
+  events_.successor_ready();
+}
+
+void Handover::SendKeys(Channel& channel) {
+  if (!channel.accepts_keys_ || std::exchange(channel.keys_sent_, true)) return;
+  events_.send_keys(
+      [&channel](const proto::KeyMessage& key, std::string_view result) { channel.SendKey(key, result); });
+}
+
+// Without the confirmation, the successor does not execute a key that it has no record of.
+void Handover::ConfirmKeys(Channel& channel) {
+  if (channel.accepts_keys_ && !events_.keys_complete()) return;
+  if (!std::exchange(channel.keys_confirmed_, true)) channel.SendLine(proto::kHandoverDraining);
+}
+
+void Handover::ConfirmKeys() {
+  for (const auto& channel : channels_) {
+    if (channel->ready_) ConfirmKeys(*channel);
+  }
+}
+
+bool Handover::AllSent() const {
+  return std::all_of(channels_.begin(), channels_.end(), [](const auto& c) { return c->all_sent(); });
+}
+
+void Handover::SendLastMessages() {
+  exiting_ = true;
+  for (const auto& channel : channels_) {
+    if (!channel->to_predecessor_) {
+      SendKeys(*channel);
+      ConfirmKeys(*channel);
+    } else if (handed_over_) {
+      // The predecessor must not accept clients again, since a successor of this process accepts them.
+      channel->SendLine(proto::kHandoverExiting);
+    }
+    channel->CloseWhenSent();
+  }
+}
+
+void Handover::AwaitSiblings(const std::function<Steady::time_point()>& deadline) {
+  Timer wake_up(base_, [] {});
+  for (auto now = Steady::now(); !channels_.empty() && now < deadline(); now = Steady::now()) {
+    wake_up.Start(deadline() - now);
+    event_base_loop(base_, EVLOOP_ONCE);
+    Sweep();
+  }
+  if (!AllSent()) log::Warn("handover-exit-not-sent");
+}
+
 void Handover::EndChannel(Channel& channel, const char* reason) {
   const auto it = std::find_if(channels_.begin(), channels_.end(),
                                [&channel](const auto& entry) { return entry.get() == &channel; });
@@ -336,13 +385,13 @@
   channels_.erase(it);
   if (channel.to_predecessor_) {
     drain_timeout_.Stop();
-    // A predecessor that has exited or crashed executes no more requests, so there are no more keys to wait
-    // for.
-    takeover_complete_ = keys_known_ = true;
+    takeover_complete_ = true;
+    // There are no more keys to wait for.
+    if (!std::exchange(keys_known_, true)) events_.predecessor_keys_lost();
     events_.takeover_state_changed();
   }
   events_.siblings_load_changed();
-  if (channel.ready_ && !channel.exiting_) {
+  if (channel.ready_ && !channel.exiting_ && !exiting_) {
     handed_over_ = std::any_of(channels_.begin(), channels_.end(), [](const auto& c) { return c->ready_; });
     if (handed_over_) return;
     // The lost successor replaced the UNIX socket of this process, which is therefore created again.
--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -4,6 +4,14 @@
 // the predecessor's listening socket. It reports when it accepts clients, and the predecessor confirms that
 // it accepts no more. Afterwards both processes report their load to each other, and the predecessor reports
 // its idempotency keys, until one of the processes exits.
+//
+// The confirmation follows all keys of the predecessor. It is the only proof that the successor knows them:
+// without it, the end of the connection means that keys are lost. A process that exits therefore sends all
+// messages first, closes its sending side, and waits until its siblings have read them and close too.
+//
+// Bounds: a sibling that reads nothing holds up the exit only for the time that the owner passes to
+// AwaitSiblings(). Unsent bytes are limited to kMaxUnsentLineBytes of reports, the idempotency keys that this
+// process retains, and kMaxUnsentResultBytes of results.
 #ifndef HINGELINK_NET_HANDOVER_H_
 #define HINGELINK_NET_HANDOVER_H_
 
@@ -34,9 +42,14 @@
     std::function<void(const proto::LearnedClassMessage&)> predecessor_learned;
     // Passes each idempotency key that this process retains to the visitor, which sends it to a successor.
     std::function<void(const KeyVisitor&)> send_keys = [](const KeyVisitor&) {};
+    // Whether the retained keys are all keys that may have been executed in this node.
+    std::function<bool()> keys_complete = [] { return true; };
     // The predecessor reported an idempotency key.
     std::function<void(const proto::KeyMessage&, std::string_view result)> key_received =
         [](const proto::KeyMessage&, std::string_view) {};
+    // The predecessor ended before it confirmed that it had sent all its keys. Keys that are unknown here may
+    // have been executed there.
+    std::function<void()> predecessor_keys_lost = [] {};
     // The result of takeover_complete(), keys_known() or keys_overdue() may have changed.
     std::function<void()> takeover_state_changed = [] {};
   };
@@ -61,11 +74,15 @@
   bool takeover_complete() const { return takeover_complete_; }
 
   bool has_predecessor() const;
-  // Whether all idempotency keys that the predecessor retained are known here, or the predecessor has exited.
+  // Whether there is no predecessor, or it has confirmed that it sent all its idempotency keys, or it has
+  // ended (see Events::predecessor_keys_lost).
   bool keys_known() const { return keys_known_; }
   // Whether the predecessor is still connected, but its confirmation that it accepts no more clients, before
   // which it sends all its idempotency keys, is overdue.
   bool keys_overdue() const { return !keys_known_ && takeover_complete_; }
+  // Confirms to the ready successors that they know all keys, once Events::keys_complete returns true. To be
+  // called when that result may have changed.
+  void ConfirmKeys();
   // Reports a changed idempotency key of this process to the ready successors. `result` is sent only if
   // `line.has_result`.
   void SendKey(const proto::KeyMessage& line, std::string_view result);
@@ -77,6 +94,16 @@
   // Reports the load of this process to each sibling if the load differs from the last report to it.
   void SendLoad(const proto::LoadMessage& load);
 
+  // Whether the kernel has taken all messages to the siblings.
+  bool AllSent() const;
+  // To be called before the exit of this process, when it executes nothing any more. Sends what the siblings
+  // need to know, also to a successor that is not ready yet, and closes the sending side of each channel.
+  // From now on no event but `siblings_load_changed` is called.
+  void SendLastMessages();
+  // Runs the event loop until all siblings have read the last messages and closed their channels, or until
+  // `deadline`, which is evaluated again in each round. Must not be called from within a callback.
+  void AwaitSiblings(const std::function<Steady::time_point()>& deadline);
+
   // Frees the channels that ended since the last call. Must not be called from within a callback.
   void Sweep();
 
@@ -86,6 +113,10 @@
   void Accept();
   void Add(Descriptor fd, bool to_predecessor);
   void OnLine(Channel& channel, std::string_view line);
+  void OnSuccessorReady(Channel& channel);
+  // Sends all retained keys, once for each channel. Does nothing if the successor does not understand them.
+  void SendKeys(Channel& channel);
+  void ConfirmKeys(Channel& channel);
   void EndChannel(Channel& channel, const char* reason);
 
   event_base* base_;
@@ -100,6 +131,7 @@
   bool takeover_complete_ = true;
   bool keys_known_ = true;
   bool handed_over_ = false;  // A successor accepts clients.
+  bool exiting_ = false;      // SendLastMessages() was called.
 };
 
 }  // namespace hingelink::net
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -32,6 +32,9 @@
 // How long before the kill the node closes connections that their peers have not closed.
 constexpr auto kCloseLead = 10ms;
 constexpr auto kDrainPollInterval = 10ms;
+// How long a process that has nothing else left waits for its siblings to read its messages. A sibling that
+// needs longer hangs.
+constexpr auto kSiblingReadTimeout = 2s;
 constexpr std::size_t kMaxThreads = 64;
 // Budget of the extensions in a batch without requests.
 constexpr BatchBudget kIdleBudget{.events = 64, .work = 1ms};
@@ -76,8 +79,10 @@
                  .predecessor_learned =
                      [this](const proto::LearnedClassMessage& line) { OnPredecessorLearned(line); },
                  .send_keys = [this](const net::Handover::KeyVisitor& each) { ReportKeys(each); },
+                 .keys_complete = [this] { return handover_.keys_known() && !sibling_keys_lost_; },
                  .key_received = [this](const proto::KeyMessage& line,
                                         std::string_view result) { OnKeyReported(line, result); },
+                 .predecessor_keys_lost = [this] { OnSiblingKeysLost(); },
                  .takeover_state_changed = [this] { UpdateSiblingKeys(); }}),
       front_(CreateFront()),
       table_(
@@ -103,11 +108,11 @@
       gauge_timer_(base_.get(), [this] { pool_->PollGauges(); }),
       // With a predecessor, the node accepts clients only once its worker pool has connected.
       listening_(!handover_.has_siblings()),
-      successor_keys_timer_(base_.get(),
-                            [this] {
-                              successor_keys_lost_ = false;
-                              UpdateSiblingKeys();
-                            }),
+      sibling_keys_timer_(base_.get(),
+                          [this] {
+                            sibling_keys_lost_ = false;
+                            UpdateSiblingKeys();
+                          }),
       drain_timer_(base_.get(), [] {}) {
   ConnectStore(config_.store_address);
   OnSiblingLoadChanged();
@@ -257,9 +262,7 @@
     for (NodeExtension* extension : extensions_) extension->OnRoundCompleted();
     if (store_) store_->FreeEndedConnections();
     if (admin_server_) admin_server_->FreeEndedConnections();
-    // Also waits for executions without a waiting caller: the successor counts them in its load as long as
-    // this process reports them.
-    if (handed_over_ && table_.empty() && front_->AllSent() && front_->connections() == 0) break;
+    if (MayExitAfterHandover()) break;
     if (draining_) {
       const Steady::time_point now = Steady::now();
       DrainStep();
@@ -281,11 +284,34 @@
     front_->Sweep();
   }
   log::Info("stopped", {{"unanswered", table_.unanswered()}, {"connections", front_->connections()}});
+  if (!sibling_read_deadline_) sibling_read_deadline_ = Steady::now() + kSiblingReadTimeout;
+  handover_.SendLastMessages();
   front_->Shutdown(kill_at_ - kCloseLead);
+  handover_.AwaitSiblings([this] { return SiblingDeadline(); });
   // libevent closes a freed bufferevent's socket in the next round of its loop.
   event_base_loop(base_.get(), EVLOOP_NONBLOCK);
 }
 
+bool Node::MayExitAfterHandover() {
+  // Also waits for executions without a waiting caller: the successor counts them in its load as long as this
+  // process reports them.
+  const bool idle = table_.empty() && front_->AllSent() && front_->connections() == 0;
+  if (!handed_over_ || !idle) {
+    sibling_read_deadline_.reset();
+    return false;
+  }
+  const Steady::time_point now = Steady::now();
+  if (!sibling_read_deadline_) sibling_read_deadline_ = now + kSiblingReadTimeout;
+  if (handover_.AllSent() || now >= *sibling_read_deadline_) return true;
+  // This process accepts clients again if the successor ends meanwhile.
+  drain_timer_.Start(*sibling_read_deadline_ - now);
+  return false;
+}
+
+Node::Steady::time_point Node::SiblingDeadline() const {
+  return draining_ ? std::min(kill_at_ - kCloseLead, *sibling_read_deadline_) : *sibling_read_deadline_;
+}
+
 void Node::BindThreads(const std::vector<std::vector<unsigned>>& cpus) {
   bool pinned = true;
   for (std::size_t i = 0; i < cpus.size() && i < threads_; ++i) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -109,6 +109,12 @@
   void ArmTimers();
   void OnPoolConnected(bool warming_up);
   void DrainStep();
+  // Whether a successor serves the clients, nothing is in flight here, and the successor has been sent all
+  // keys or reads nothing for too long.
+  bool MayExitAfterHandover();
+  // When this process stops waiting for siblings that have not read its last messages. Requires
+  // sibling_read_deadline_.
+  Steady::time_point SiblingDeadline() const;
   // Whether this process accepts clients.
   bool Ready() const { return listening_ && policy_ && !draining_ && handover_.takeover_complete(); }
   // The successor is ready: stops accepting clients.
@@ -119,9 +125,9 @@
   void OnSiblingLoadChanged();
   // Tells the request table whether the idempotency keys of the siblings are known.
   void UpdateSiblingKeys();
-  // To be called when a successor has ended without notice. Until no caller repeats a request that the
-  // successor may have executed, keys without a record in this process are not executed.
-  void OnSuccessorKeysLost();
+  // To be called when a sibling has ended without having reported all its keys. Until no caller repeats a
+  // request that the sibling may have executed, keys without a record in this process are not executed.
+  void OnSiblingKeysLost();
   // Calls `each` for every idempotency key that this process retains.
   void ReportKeys(const net::Handover::KeyVisitor& each) const;
   // Sends the state of a key to the successor, if there is one.
@@ -190,12 +196,15 @@
   bool drain_notice_sent_ = false;  // The policy has received the DrainNotice, or needs none.
   bool listening_;
   bool handed_over_ = false;
-  // A successor ended without notice, and the keys that it executed are unknown until the timer expires.
-  bool successor_keys_lost_ = false;
-  net::Timer successor_keys_timer_;
+  // A sibling ended without having reported all keys that it executed. They are unknown until the timer
+  // expires.
+  bool sibling_keys_lost_ = false;
+  net::Timer sibling_keys_timer_;
   bool stopped_ = false;  // The policy is no longer called; new requests are rejected.
   // When the supervisor kills the process at the latest; set by StartDrain().
   Steady::time_point kill_at_{};
+  // When the wait for siblings to read the last messages ends; set once nothing else is left to do.
+  std::optional<Steady::time_point> sibling_read_deadline_;
   net::Timer drain_timer_;
 };
 
--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -38,7 +38,7 @@
   if (draining_) return;
   log::Warn("serving-resumed");
   handed_over_ = false;
-  OnSuccessorKeysLost();
+  OnSiblingKeysLost();
   listening_ = true;
   front_->ResumeListening();
   UpdateSiblingKeys();
--- a/src/node/node_siblings.cpp
+++ b/src/node/node_siblings.cpp
@@ -47,27 +47,31 @@
 
 void Node::UpdateSiblingKeys() {
   if (!handover_.has_predecessor()) table_.OnSiblingsExited();
-  const bool may_have_run_at_successor = handed_over_ || successor_keys_lost_;
-  table_.SetSiblingKeys(may_have_run_at_successor  ? SiblingKeys::kServedElsewhere
+  const bool may_run_elsewhere = handed_over_ || sibling_keys_lost_;
+  table_.SetSiblingKeys(may_run_elsewhere          ? SiblingKeys::kServedElsewhere
                         : handover_.keys_known()   ? SiblingKeys::kKnown
                         : handover_.keys_overdue() ? SiblingKeys::kUnavailable
                                                    : SiblingKeys::kPending);
+  handover_.ConfirmKeys();
 }
 
-void Node::OnSuccessorKeysLost() {
+void Node::OnSiblingKeysLost() {
   double longest_window_ms = 0;
   for (const auto& c : config_.settings.classes) {
     if (c.idempotency == hingelink::Idempotency::kKeyed)
       longest_window_ms = std::max(longest_window_ms, c.idempotency_window_ms);
   }
-  successor_keys_lost_ = longest_window_ms > 0;
-  if (successor_keys_lost_)
-    successor_keys_timer_.Start(std::chrono::duration_cast<Steady::duration>(Millis(longest_window_ms)));
+  sibling_keys_lost_ = longest_window_ms > 0;
+  if (sibling_keys_lost_)
+    sibling_keys_timer_.Start(std::chrono::duration_cast<Steady::duration>(Millis(longest_window_ms)));
 }
 
 void Node::ReportKeys(const net::Handover::KeyVisitor& each) const {
-  table_.keys().ForEachRetained(
-      Steady::now(), [&each](const KeyUpdate& update) { each(ToKeyMessage(update), ResultOrEmpty(update)); });
+  table_.keys().ForEachRetained(Steady::now(), [this, &each](const KeyUpdate& update) {
+    // An attempt that has not started when this process exits never runs.
+    const bool never_runs = stopped_ && update.state == KeyState::kReserved;
+    if (!never_runs) each(ToKeyMessage(update), ResultOrEmpty(update));
+  });
 }
 
 void Node::ReportKey(const core::IdempotencyKey& key) {
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -47,8 +47,8 @@
   // The predecessor did not report its keys in time. Attempts with a key without a record in this process are
   // rejected, because the predecessor may have executed an earlier attempt.
   kUnavailable,
-  // A successor accepts the connections, or did so until it ended without notice. A key without a record in
-  // this process may be running or have run there, so an attempt with such a key fails.
+  // A successor accepts the connections, or a sibling ended without having reported all its keys. A key
+  // without a record in this process may be running or have run there, so an attempt with such a key fails.
   kServedElsewhere,
 };
 
--- a/src/standin/pool.cpp
+++ b/src/standin/pool.cpp
@@ -26,6 +26,7 @@
 constexpr Millis kCheckWork{5};                            // Of a deep check.
 constexpr std::uint64_t kChecks = std::uint64_t{1} << 63;  // Ids of deep checks among the cores' runs.
 constexpr auto kStandingLook = 50ms;
+constexpr std::string_view kResultSize = "result";  // In a body: the length of the result follows.
 
 std::optional<Millis> WorkOf(std::string_view body) {
   constexpr std::string_view kHead = "work ";
@@ -43,6 +44,7 @@
   if (words.Next() != "work" || !words.Number<double>() || words.Next() != "calls") return extras;
   extras.calls = words.Number<int>().value_or(0);
   extras.once = words.Next() == "once";
+  if (words.Next() == kResultSize) extras.result_bytes = words.Number<std::size_t>().value_or(0);
   return extras;
 }
 
@@ -69,11 +71,14 @@
 std::string WorkBody(Millis work, std::string_view filler, const Extras& extras) {
   char text[64];
   int size = std::snprintf(text, sizeof text, "work %.3f ", work.count());
-  if (extras.calls > 0 || extras.once) {
+  if (extras.calls > 0 || extras.once || extras.result_bytes > 0) {
     size = std::snprintf(text, sizeof text, "work %.3f calls %d %s ", work.count(), extras.calls,
                          extras.once ? "once" : "again");
   }
-  return std::string(text, static_cast<std::size_t>(size)).append(filler);
+  std::string body(text, static_cast<std::size_t>(size));
+  if (extras.result_bytes > 0)
+    body.append(kResultSize).append(" ").append(std::to_string(extras.result_bytes)).append(" ");
+  return body.append(filler);
 }
 
 std::string CallBody(std::uint64_t req, int nth, bool once) {
@@ -82,8 +87,10 @@
 }
 
 std::string ResultOf(std::uint64_t req, std::string_view body) {
-  return "result " + proto::FormatRequestId(req) + ' ' +
-         proto::FormatRequestId(XXH3_64bits(body.data(), body.size()));
+  std::string result = "result " + proto::FormatRequestId(req) + ' ' +
+                       proto::FormatRequestId(XXH3_64bits(body.data(), body.size()));
+  if (const std::size_t size = ExtrasOf(body).result_bytes; size > result.size()) result.resize(size, 'r');
+  return result;
 }
 
 // An address, with its notices and its link.
--- a/src/standin/pool.h
+++ b/src/standin/pool.h
@@ -25,6 +25,8 @@
 struct Extras {
   int calls = 0;      // Made one after the other, between even parts of the work.
   bool once = false;  // A run of this body is to happen once at a pool, and so are its calls.
+  // Length of the result, if it is longer than what identifies the request.
+  std::size_t result_bytes = 0;
 };
 // The body of a request that asks for so much work, on one standard core. `filler` makes it differ.
 std::string WorkBody(Millis work, std::string_view filler, const Extras& extras = {});
--- a/tests/net/handover_test.cpp
+++ b/tests/net/handover_test.cpp
@@ -78,5 +78,58 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against lost keys: a successor that reports its load to a predecessor that has just ended gets an
+// error while the predecessor's keys are still unread.
+TEST(Handover, KeysOfAnEndedPredecessorAreReadAfterAFailedReport) {
+  constexpr std::uint64_t kKeys = 500;  // They fit into the buffers of the channel.
+  char name[] = "/tmp/hingelink.handover.XXXXXX";
+  const std::string folder = mkdtemp(name);
+  Descriptor listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  standin::Host host;
+  std::optional<Handover> predecessor;
+  bool keys_sent = false;
+  host.Do([&] {
+    Handover::Events events = IgnoredEvents();
+    events.send_keys = [&keys_sent](const Handover::KeyVisitor& visit) {
+      for (std::uint64_t key = 1; key <= kKeys; ++key)
+        visit({.key = {key, key}, .state = 2, .remaining = 1s}, {});
+      keys_sent = true;
+    };
+    predecessor.emplace(host.base(), folder, std::move(events));
+    predecessor->AcceptSuccessors(listener.get());
+  });
+  {
+    const BasePtr base = MakeBase();
+    std::uint64_t received = 0;
+    bool keys_lost = false;
+    Handover::Events events = IgnoredEvents();
+    events.key_received = [&received](const proto::KeyMessage&, std::string_view) { ++received; };
+    events.predecessor_keys_lost = [&keys_lost] { keys_lost = true; };
+    Handover successor(base.get(), folder, std::move(events));
+    ASSERT_GE(successor.RequestListener().get(), 0);
+    successor.SendReady();
+    // Runs on the thread of the predecessor, which therefore does not answer before the successor stops
+    // reading.
+    host.Do([&] { event_base_loop(base.get(), EVLOOP_NONBLOCK); });
+    const auto end = Steady::now() + 20s;
+    bool sent = false;
+    while (!sent && Steady::now() < end) {
+      host.Do([&] { sent = keys_sent && predecessor->AllSent(); });
+      std::this_thread::sleep_for(1ms);
+    }
+    ASSERT_TRUE(sent);
+    ASSERT_EQ(received, 0u);
+    // The predecessor ends without closing its sending side first, as a killed process does.
+    host.Do([&] { predecessor.reset(); });
+    host.Do([] {});  // libevent has closed the socket in the round before.
+    successor.SendLoad({.running = 2});
+    while (successor.has_predecessor() && Steady::now() < end) event_base_loop(base.get(), EVLOOP_ONCE);
+    EXPECT_EQ(received, kKeys);
+    EXPECT_TRUE(successor.keys_known());
+    EXPECT_FALSE(keys_lost);
+  }
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace hingelink::net
--- a/tests/node/scripted_peers.h
+++ b/tests/node/scripted_peers.h
@@ -6,6 +6,7 @@
 #undef NDEBUG  // These helpers check with assert(), which must be active in every build.
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -172,6 +173,12 @@
   std::string body;
 };
 
+// Limits of the receiving side of a connection. 0: the default of the system.
+struct SocketLimits {
+  int receive_buffer_bytes = 0;
+  int max_segment_bytes = 0;
+};
+
 // A connection of a gateway to the node.
 class Gateway {
  public:
@@ -186,7 +193,14 @@
   }
 
   // Connects to an address of the form 127.0.0.1:80.
-  explicit Gateway(const std::string& address) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit Gateway(const std::string& address, const SocketLimits& limits = {})
+      : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    if (limits.receive_buffer_bytes > 0) {
+      assert(setsockopt(socket_.fd(), SOL_SOCKET, SO_RCVBUF, &limits.receive_buffer_bytes, sizeof(int)) == 0);
+    }
+    if (limits.max_segment_bytes > 0) {
+      assert(setsockopt(socket_.fd(), IPPROTO_TCP, TCP_MAXSEG, &limits.max_segment_bytes, sizeof(int)) == 0);
+    }
     sockaddr_in at{};
     at.sin_family = AF_INET;
     const std::size_t colon = address.find(':');
--- a/tests/node/upgrade_keys_test.cpp
+++ b/tests/node/upgrade_keys_test.cpp
@@ -18,8 +18,12 @@
 using peers::kServed;
 using ScriptedGateway = peers::Gateway;
 
-// Enough keys that the messages to the successor exceed what one write to its channel takes.
-constexpr int kManyClaims = 400;
+// The longest result that the protocol allows.
+constexpr std::size_t kResultBytes = 4'096;
+// Enough claims that their keys and results exceed what the kernel buffers for a channel.
+constexpr int kManyClaims = 200;
+// Few enough claims that the kernel takes all of them.
+constexpr int kFewClaims = 5;
 
 // A caller of numbered claims. A claim has the same key and body in each attempt, and its body may be
 // executed once.
@@ -28,7 +32,8 @@
   explicit ClaimCaller(const std::string& address) : gateway_(address) {}
 
   static std::string BodyOf(int claim) {
-    return WorkBody(Millis(1), "claim " + std::to_string(claim), {.calls = 0, .once = true});
+    return WorkBody(Millis(1), "claim " + std::to_string(claim),
+                    {.calls = 0, .once = true, .result_bytes = kResultBytes});
   }
   static std::uint64_t IdOf(int claim, int attempt) {
     return 0xa0000000 + static_cast<std::uint64_t>(attempt) * 0x100000 + static_cast<std::uint64_t>(claim);
@@ -177,5 +182,84 @@
   EXPECT_EQ(in_flight.ReadAnswer(1, kServed).body, ResultOf(0xd0, WorkBody(Millis(3'000), "u")));
 }
 
+// Guards against claims that run twice after an upgrade: a predecessor with nothing in flight ended before
+// its keys had left its buffer, and the successor took the end of the channel for the proof that it knew them
+// all.
+TEST_F(UpgradeKeysTest, IdlePredecessorEndsOnlyOnceItsSuccessorKnowsAllKeys) {
+  RunClaims(kManyClaims);
+  const Deployment::Process successor = deployment_.SpawnProcess(0, 1);
+  ASSERT_EQ(deployment_.AwaitOldestProcess(0, 20s), 0);
+  ASSERT_TRUE(Deployment::AwaitEvent(successor, "handover-channel-end", 20s));
+  ExpectReplays(kManyClaims, 1);
+  EXPECT_NE(Deployment::LogOf(successor).find("handover-done"), std::string::npos);
+}
+
+// The same with a predecessor that drains and ends before its successor is ready for the keys.
+TEST_F(UpgradeKeysTest, PredecessorThatDrainsBeforeItsSuccessorIsReadyReportsItsKeys) {
+  RunClaims(kManyClaims);
+  UsePoolThatIsNotUp();
+  const Deployment::Process successor = deployment_.SpawnProcess(0, 1);
+  ASSERT_TRUE(Deployment::AwaitEvent(successor, "handover-begins", 20s));
+  deployment_.SignalOldestProcess(0, SIGTERM);
+  ASSERT_EQ(deployment_.AwaitOldestProcess(0, 20s), 0);
+  MovePool(successor, 1);
+  ASSERT_TRUE(Deployment::AwaitEvent(successor, "pool-bound", 20s));
+  ExpectReplays(kManyClaims, 1);
+}
+
+// Guards against claims that run twice: the end of a predecessor that has not reported its keys is no proof
+// that no key ran there. Its claims fail until nobody repeats them any more.
+TEST_F(UpgradeKeysTest, KeysOfAPredecessorKilledBeforeItsReportAreNotExecutedAgain) {
+  RunClaims(kFewClaims);
+  deployment_.SignalOldestProcess(0, SIGSTOP);
+  const Deployment::Process successor = deployment_.SpawnProcess(0, 1);
+  ASSERT_TRUE(Deployment::AwaitEvent(successor, "handover-overdue", 20s));
+  const std::uint64_t killed_at = ScriptedGateway::UnixMs();
+  Kill(predecessor_);
+  ASSERT_TRUE(Deployment::AwaitEvent(successor, "handover-channel-end", 20s));
+  ClaimCaller caller(deployment_.ListenOf(0));
+  for (const auto& [claim, answer] : caller.SendAll(kFewClaims, 1)) EXPECT_EQ(answer.code, kFailed) << claim;
+  ExpectNoneRanTwice();
+  // The timer of the node starts when it sees the end, which a busy machine may delay.
+  while (ScriptedGateway::UnixMs() < killed_at + kWindowMs + 1'500) std::this_thread::sleep_for(1ms);
+  const Frame later = caller.Send(kFewClaims, 0);
+  EXPECT_EQ(later.code, kServed);
+  EXPECT_EQ(later.body, ClaimCaller::ResultOfFirst(kFewClaims));
+}
+
+// Guards against claims that run twice in a chain of upgrades: a process that does not know the keys of its
+// own predecessor, which hangs, must not confirm to its successor that it has sent all keys.
+TEST_F(UpgradeKeysTest, ProcessWithoutItsPredecessorsKeysDoesNotConfirmThemToItsSuccessor) {
+  RunClaims(kFewClaims);
+  deployment_.SignalOldestProcess(0, SIGSTOP);
+  const Deployment::Process second = deployment_.SpawnProcess(0, 1);
+  ASSERT_TRUE(Deployment::AwaitEvent(second, "handover-overdue", 20s));
+  const Deployment::Process third = deployment_.SpawnProcess(0, 2);
+  ASSERT_TRUE(Deployment::AwaitEvent(second, "handed-over", 20s));
+  ASSERT_TRUE(Deployment::AwaitEvent(third, "handover-channel-end", 20s));
+  // The kernel must not assign connections to the process that hangs.
+  Kill(predecessor_);
+  ClaimCaller caller(deployment_.ListenOf(0));
+  for (const auto& [claim, answer] : caller.SendAll(kFewClaims, 1)) EXPECT_EQ(answer.code, kFailed) << claim;
+  ExpectNoneRanTwice();
+}
+
+// A successor that reads nothing holds its predecessor up for 2 s at most. The test allows what the platform
+// allows: it kills a process 3.7 s after it was told to end, and this one is not even told.
+TEST_F(UpgradeKeysTest, SuccessorThatReadsNothingDoesNotKeepItsPredecessorAlive) {
+  constexpr auto kKillTime = 3'700ms;
+  for (const int claims : {kFewClaims, kManyClaims}) {
+    RunClaims(claims);
+    ScriptedSuccessor successor(deployment_.FolderOf(0));
+    successor.SendReady();
+    EXPECT_EQ(deployment_.AwaitOldestProcess(0, kKillTime), 0) << claims;
+    const bool confirmed = successor.ReadToEnd().find(proto::kHandoverDraining) != std::string::npos;
+    EXPECT_EQ(confirmed, claims == kFewClaims);
+    deployment_.ResetNode(0);
+    predecessor_ = deployment_.SpawnProcess(0, 0);
+    ASSERT_TRUE(Deployment::AwaitEvent(predecessor_, "pool-bound", 20s));
+  }
+}
+
 }  // namespace
 }  // namespace hingelink::standin
