Store client: a call keeps its body until its connection is established

Cause: StoreClient::Write put a call into the buffer of a connection that was not established and freed the body. Once the handshake took longer than 150 ms, or the store's address changed, the connection was given up and the call written again on another one, with the freed body. For the same reason the store was told the time that remained when the call was made, and a call whose timeout came during the handshake ended as one that may have run.

Change: StoreConnection keeps calls whole until it is established, then sends them with the time that remains then. Retire() takes unsent calls back, body and all. A call that ends unsent has not run (kConnectFailed); neither it nor a DROP is sent later.

Bound: bodies that wait count as unsent bytes of the connection, 1 MiB, beyond which a new call ends as never written; tested.

--- a/src/net/store/store_client.cpp
+++ b/src/net/store/store_client.cpp
@@ -63,11 +63,8 @@
   // If the store reads nothing, new calls are not written, so that the unsent bytes do not pile up.
   if (connection->unsent() > kMaxUnsentBytes) return FinishUnwrittenLater(req);
   call.connection = connection;
-  // The store receives the remaining time of the call, which is less than its timeout if the call has waited
-  // for a connection.
-  connection->Write(req, Millis(call.deadline - Steady::now()), call.body);
+  connection->Write(req, call.deadline, std::exchange(call.body, {}));
   connection->StartSilenceTimer(unresponsive_detector_.timeout());
-  call.body.clear();
 }
 
 void StoreClient::WriteWaitingCalls() {
@@ -133,15 +130,10 @@
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const auto it = calls_.find(deadlines_.begin()->second);
     StoreConnection* connection = it->second.connection;
-    if (connection == nullptr) {
-      // The call was never written, because it waited for a connection.
-      ++counts_.refused;
-      FinishCall(it, Outcome::kConnectFailed);
-      continue;
-    }
-    ++counts_.late;
-    connection->EndCall(it->first, true);
-    FinishCall(it, Outcome::kTimeout);
+    const bool written = connection != nullptr && connection->HasWritten(it->first);
+    if (connection != nullptr) connection->EndCall(it->first, true);
+    ++(written ? counts_.late : counts_.refused);
+    FinishCall(it, written ? Outcome::kTimeout : Outcome::kConnectFailed);
   }
   ScheduleDeadline();
 }
@@ -215,8 +207,13 @@
 
 void StoreClient::Retire(StoreConnection& connection, Millis timeout) {
   if (!connection.connected()) {
-    // Its calls have not been sent yet and can use another connection.
-    for (const std::uint64_t req : RemoveConnection(connection).second) calls_.at(req).connection = nullptr;
+    // Its calls have not been written yet and can use another connection.
+    for (StoreConnection::UnwrittenCall& unwritten : connection.TakeUnwrittenCalls()) {
+      PendingCall& call = calls_.at(unwritten.req);
+      call.connection = nullptr;
+      call.body = std::move(unwritten.body);
+    }
+    RemoveConnection(connection);
     return;
   }
   const auto at = std::find_if(open_connections_.begin(), open_connections_.end(),
--- a/src/net/store/store_client.h
+++ b/src/net/store/store_client.h
@@ -6,8 +6,8 @@
 // - kOk: the call has run, and the reply is passed on.
 // - kFull (reply BUSY), kConnectFailed (reply VOID, connection refused, or call never written): it did not
 // run.
-// - kTimeout (timeout of the client, or reply LATE), kError (reply ERR), kReset (connection lost): it may
-// have run.
+// - kTimeout (timeout of the client after the call was written, or reply LATE), kError (reply ERR), kReset
+// (connection lost): it may have run.
 //
 // decide::SelectConnection chooses the connection of a call. decide::UnresponsiveConnectionDetector decides
 // when an unresponsive connection is no longer used, and when its calls fail. decide::ReconnectBackoff delays
@@ -15,8 +15,9 @@
 // refused, all waiting calls end.
 //
 // Limits: the decision module limits the number of calls. If a connection has more than kMaxUnsentBytes
-// unsent bytes, a new call ends as never written. At most decide::kMaxUpstreamConnections connections take
-// new calls, and at most kMaxRetiringConnections are retiring.
+// unsent bytes, counting the calls that wait until it is established, a new call ends as never written. At
+// most decide::kMaxUpstreamConnections connections take new calls, and at most kMaxRetiringConnections are
+// retiring.
 #ifndef HINGELINK_NET_STORE_STORE_CLIENT_H_
 #define HINGELINK_NET_STORE_STORE_CLIENT_H_
 
@@ -84,13 +85,13 @@
   using ConnectionPtr = std::unique_ptr<StoreConnection>;
   struct PendingCall {
     StoreConnection* connection = nullptr;  // Null while the call waits for a connection.
-    std::string body;                       // Empty once the call is written.
+    std::string body;                       // Empty while the call has a connection, which has the body.
     Steady::time_point started{};
     Steady::time_point deadline{};
   };
   using Calls = std::unordered_map<std::uint64_t, PendingCall>;
 
-  // Writes the call to a connection, or leaves it waiting if there is none.
+  // Passes the call to a connection, or leaves it waiting if there is none.
   void Write(std::uint64_t req, PendingCall& call);
   void WriteWaitingCalls();
   // Returns the connection for a call, and opens one if needed. Null while the client waits to reconnect, and
@@ -110,7 +111,8 @@
   void OnConnectFailed(StoreConnection& connection);
   void OnConnectionLost(StoreConnection& connection);
   // The connection takes no new calls from now on. `timeout`: the time without a received byte after which
-  // it is retired; 0 if it is retired for another reason. A connection that is not established is removed.
+  // it is retired; 0 if it is retired for another reason. A connection that is not established is removed,
+  // and its calls wait for another one.
   void Retire(StoreConnection& connection, Millis timeout);
   void OnSilenceTimeout(StoreConnection& connection);
   void OnReply(StoreConnection& connection, const proto::StoreReply& reply);
--- a/src/net/store/store_connection.cpp
+++ b/src/net/store/store_connection.cpp
@@ -46,18 +46,44 @@
   StartIdleTimerIfIdle();
 }
 
-void StoreConnection::Write(std::uint64_t req, Millis remaining, std::string_view body) {
+void StoreConnection::Write(std::uint64_t req, Steady::time_point deadline, std::string body) {
   // The time without a received byte starts with the first call.
   if (calls_++ == 0) RecordReceive();
   idle_timer_.Stop();
-  Send(bev_.get(), proto::EncodeStoreCallHeader(req, remaining, body.size()));
+  if (connected_) return SendCall(req, deadline, body);
+  unwritten_bytes_ += body.size();
+  unwritten_calls_.push_back({req, deadline, std::move(body)});
+}
+
+void StoreConnection::SendCall(std::uint64_t req, Steady::time_point deadline, std::string_view body) {
+  Send(bev_.get(), proto::EncodeStoreCallHeader(req, Millis(deadline - Steady::now()), body.size()));
   Send(bev_.get(), body);
   Send(bev_.get(), "\r\n");
 }
 
+std::vector<StoreConnection::UnwrittenCall> StoreConnection::TakeUnwrittenCalls() {
+  calls_ -= unwritten_calls_.size();
+  unwritten_bytes_ = 0;
+  return std::exchange(unwritten_calls_, {});
+}
+
+bool StoreConnection::HasWritten(std::uint64_t req) const {
+  return std::none_of(unwritten_calls_.begin(), unwritten_calls_.end(),
+                      [req](const UnwrittenCall& call) { return call.req == req; });
+}
+
+bool StoreConnection::EraseUnwritten(std::uint64_t req) {
+  const auto call = std::find_if(unwritten_calls_.begin(), unwritten_calls_.end(),
+                                 [req](const UnwrittenCall& c) { return c.req == req; });
+  if (call == unwritten_calls_.end()) return false;
+  unwritten_bytes_ -= call->body.size();
+  unwritten_calls_.erase(call);
+  return true;
+}
+
 void StoreConnection::EndCall(std::uint64_t req, bool abandoned) {
   --calls_;
-  if (abandoned && usable_) {
+  if (!EraseUnwritten(req) && abandoned && usable_) {
     Send(bev_.get(), proto::EncodeStoreDropCommand(req));
     abandoned_calls_.push_back({Steady::now(), req});
     if (abandoned_calls_.size() > kMaxAbandonedCalls) abandoned_calls_.pop_front();
@@ -107,6 +133,9 @@
     SetNoDelay(bufferevent_getfd(bev_.get()));
     connected_ = true;
     RecordReceive();
+    unwritten_bytes_ = 0;
+    for (const UnwrittenCall& call : std::exchange(unwritten_calls_, {}))
+      SendCall(call.req, call.deadline, call.body);
   } else if (connected_) {
     events_.lost(*this);
   } else {
--- a/src/net/store/store_connection.h
+++ b/src/net/store/store_connection.h
@@ -4,6 +4,9 @@
 // States: connecting -> connected -> retiring (takes no new calls) -> stopped. An idle connection reports
 // itself as lost before the store would close it, so that no call is sent while the store closes the
 // connection.
+//
+// Until the connection is established, it keeps its calls whole and sends nothing. So the store is told the
+// time that then remains, and the owner can take the calls back and send them on another connection.
 #ifndef HINGELINK_NET_STORE_STORE_CONNECTION_H_
 #define HINGELINK_NET_STORE_STORE_CONNECTION_H_
 
@@ -11,8 +14,10 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "net/event.h"
 #include "proto/store_lines.h"
@@ -43,9 +48,21 @@
   StoreConnection(const StoreConnection&) = delete;
   StoreConnection& operator=(const StoreConnection&) = delete;
 
-  // Writes a call. `remaining`: the time until its timeout.
-  void Write(std::uint64_t req, Millis remaining, std::string_view body);
-  // A call of this connection is over. `abandoned`: the store has not replied yet, and is sent a DROP.
+  // A call that was not written, because the connection is not established.
+  struct UnwrittenCall {
+    std::uint64_t req = 0;
+    Steady::time_point deadline{};
+    std::string body;
+  };
+
+  // Writes a call, or keeps it until the connection is established. `deadline`: when the call times out.
+  void Write(std::uint64_t req, Steady::time_point deadline, std::string body);
+  // Returns the calls that were not written. They are no longer calls of this connection.
+  std::vector<UnwrittenCall> TakeUnwrittenCalls();
+  // Whether the call may have reached the store. False only if it is a call that waits for the connection.
+  bool HasWritten(std::uint64_t req) const;
+  // A call of this connection is over. `abandoned`: the store has not replied yet, and is sent a DROP if the
+  // call was written.
   void EndCall(std::uint64_t req, bool abandoned);
   // Whether a call of this request was recently abandoned on this connection. A new call of the request must
   // use another connection: a late reply to the abandoned call would be taken for the reply to the new call.
@@ -67,14 +84,19 @@
   Millis retired_after() const { return retired_after_; }
   // Calls in flight.
   std::size_t calls() const { return calls_; }
-  // Unsent bytes.
-  std::size_t unsent() const { return UnsentBytes(bev_.get()); }
+  // Unsent bytes, including the bodies of unwritten calls.
+  std::size_t unsent() const { return UnsentBytes(bev_.get()) + unwritten_bytes_; }
   // When the last byte was received, or the first call was written to the idle connection.
   Steady::time_point last_received() const { return last_received_; }
   // Replies on other connections since the last byte was received on this one.
   std::uint64_t overtaking_replies() const { return replies_ - replies_at_last_receive_; }
 
  private:
+  using UnwrittenCalls = std::vector<UnwrittenCall>;
+
+  void SendCall(std::uint64_t req, Steady::time_point deadline, std::string_view body);
+  // Removes a call that was not written. False if there is none.
+  bool EraseUnwritten(std::uint64_t req);
   void RecordReceive();
   void StartIdleTimerIfIdle();
   void Read();
@@ -88,6 +110,8 @@
   Timer silence_timer_;
   bool silence_timer_running_ = false;
   std::size_t calls_ = 0;
+  UnwrittenCalls unwritten_calls_;  // In the order of Write(); empty once the connection is established.
+  std::size_t unwritten_bytes_ = 0;
   bool usable_ = false;
   bool connected_ = false;
   bool retiring_ = false;
--- a/tests/net/store_client_test.cpp
+++ b/tests/net/store_client_test.cpp
@@ -8,6 +8,9 @@
 #include <memory>
 #include <optional>
 
+#include "cut_off_listener.h"
+#include "proto/pool_lines.h"
+#include "proto/tokenizer.h"
 #include "standin/store.h"
 
 namespace hingelink::net {
@@ -224,6 +227,143 @@
   EXPECT_EQ(store.in_hand(), 1u);
 }
 
+// A store that is reached through a listener of the test. It records the calls and answers them at once.
+class RecordingStore {
+ public:
+  struct Call {
+    std::uint64_t req = 0;
+    double wait_ms = 0;
+    std::string body;
+  };
+  RecordingStore(event_base* base, Descriptor listener)
+      : base_(base),
+        listener_(evconnlistener_new(
+            base,
+            [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+              static_cast<RecordingStore*>(self)->Accept(fd);
+            },
+            this, LEV_OPT_CLOSE_ON_FREE, 0, listener.release())) {
+    evutil_make_socket_nonblocking(evconnlistener_get_fd(listener_.get()));
+  }
+  std::vector<Call> calls;
+  std::vector<std::uint64_t> drops;
+
+ private:
+  void Accept(evutil_socket_t fd) {
+    connections_.emplace_back(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        connections_.back().get(),
+        [](bufferevent* bev, void* self) { static_cast<RecordingStore*>(self)->Read(bev); }, nullptr, nullptr,
+        this);
+    bufferevent_enable(connections_.back().get(), EV_READ | EV_WRITE);
+  }
+  void Read(bufferevent* bev) {
+    for (;;) {
+      const std::string_view all = ReceivedBytes(bev);
+      const std::size_t end = all.find("\r\n");
+      if (end == std::string_view::npos) return;
+      proto::Tokenizer words(all.substr(0, end));
+      const bool is_call = words.Next() == "CALL";
+      const std::uint64_t req = words.Number<std::uint64_t>(16).value_or(0);
+      if (!is_call) {
+        drops.push_back(req);
+        Consume(bev, end + 2);
+        continue;
+      }
+      const double wait_ms = words.Number<double>().value_or(0);
+      const std::size_t size = words.Number<std::size_t>().value_or(0);
+      if (all.size() < end + 2 + size + 2) return;
+      calls.push_back({req, wait_ms, std::string(all.substr(end + 2, size))});
+      Consume(bev, end + 2 + size + 2);
+      const std::string reply = standin::ReplyOf(calls.back().body);
+      Send(bev,
+           proto::FormatRequestId(req) + " OK " + std::to_string(reply.size()) + "\r\n" + reply + "\r\n");
+    }
+  }
+
+  event_base* base_;
+  ListenerPtr listener_;
+  std::vector<BufferPtr> connections_;
+};
+
+// Guards against calls that reach the store without their body: the handshake takes longer than the store's
+// replies, the connection is given up, and its calls are sent on another one.
+TEST_F(StoreClientTest, CallsKeepTheirBodiesWhenTheirConnectionIsGivenUpDuringTheHandshake) {
+  constexpr std::uint64_t kCalls = 4;
+  const auto started = Steady::now();
+  CutOffListener cut;
+  client->ChangeAddress(ParseAddress(cut.address()));
+  for (std::uint64_t req = 1; req <= kCalls; ++req) Call(req, 20s);
+  RunUntil([&] { return client->counts().unresponsive >= kCalls; });
+  const auto cut_ended = Steady::now();
+  RecordingStore reached(base.get(), cut.Release());
+  RunUntil([&] { return results.size() == kCalls; });
+  for (const auto& [req, result] : results) {
+    EXPECT_EQ(result.outcome, Outcome::kOk);
+    EXPECT_EQ(result.reply, standin::ReplyOf(Body(req)));
+  }
+  ASSERT_EQ(reached.calls.size(), kCalls);
+  // The store learns the time that remains when the call is sent, in whole milliseconds.
+  const Millis least = 20s - (Steady::now() - started), most = 20s - (cut_ended - started) + 1ms;
+  for (const RecordingStore::Call& call : reached.calls) {
+    EXPECT_EQ(call.body, Body(call.req));
+    EXPECT_GE(call.wait_ms, least.count());
+    EXPECT_LE(call.wait_ms, most.count());
+  }
+}
+
+// The same if the address of the store changes meanwhile.
+TEST_F(StoreClientTest, CallsKeepTheirBodiesWhenTheAddressChangesDuringTheHandshake) {
+  CutOffListener cut;
+  client->ChangeAddress(ParseAddress(cut.address()));
+  Call(1, 20s);
+  Call(2, 20s);
+  client->ChangeAddress(ParseAddress(store.address()));
+  RunUntil([&] { return results.size() == 2; });
+  for (const auto& [req, result] : results) {
+    EXPECT_EQ(result.outcome, Outcome::kOk);
+    EXPECT_EQ(result.reply, standin::ReplyOf(Body(req)));
+  }
+  EXPECT_EQ(store.counts().calls, 2u);
+}
+
+// A call that waits for a handshake has not run: its timeout says so, and neither the call nor a DROP is sent
+// later. A new call of the same request is sent with its own body.
+TEST_F(StoreClientTest, CallThatEndsDuringTheHandshakeIsNeverSent) {
+  CutOffListener cut;
+  client->ChangeAddress(ParseAddress(cut.address()));
+  Call(1, 100ms);
+  Call(2, 20s);
+  client->Abandon(2);
+  Call(3, 20s, "first ");
+  Call(3, 20s, "second ");
+  RunUntil([&] { return results.size() == 1; });
+  EXPECT_EQ(results[1].outcome, Outcome::kConnectFailed);
+  RecordingStore reached(base.get(), cut.Release());
+  RunUntil([&] { return results.size() == 2; });
+  EXPECT_EQ(results[3].reply, standin::ReplyOf("second 3"));
+  ASSERT_EQ(reached.calls.size(), 1u);
+  EXPECT_EQ(reached.calls[0].body, "second 3");
+  EXPECT_TRUE(reached.drops.empty());
+}
+
+// The calls that wait for a handshake are bounded: beyond 1 MiB of bodies on the connection, further calls
+// end as never written.
+TEST_F(StoreClientTest, BodiesThatWaitForAHandshakeAreBounded) {
+  constexpr std::size_t kBodyBytes = 64 << 10, kMaxBytes = 1 << 20;
+  CutOffListener cut;
+  client->ChangeAddress(ParseAddress(cut.address()));
+  std::uint64_t refused = 0;
+  for (std::uint64_t req = 1; req <= 1'000; ++req) client->Call(req, 20s, std::string(kBodyBytes, 'b'));
+  RunUntil([&] {
+    refused = results.size();
+    return refused > 0;
+  });
+  for (const auto& [req, result] : results) EXPECT_EQ(result.outcome, Outcome::kConnectFailed);
+  // One call beyond the limit on each connection may still be taken.
+  EXPECT_LE(client->in_flight(), client->open_connections() * (kMaxBytes / kBodyBytes + 1));
+}
+
 struct BusyStoreTest : StoreClientTest {
   BusyStoreTest() : StoreClientTest({.busy_above = 0}) {}
 };
