Connections: a stalled peer keeps its connection while answers are owed in time

Cause: three limits closed a connection whatever was owed on it: `slow-reader` after 2.25 s without a byte taken, `unfinished` after 5 s of silence within a frame, `framing` 1 s after the error.

Change: none of them closes while an answer is outstanding, unsent or not acknowledged, and not overdue. A request is overdue behind the longest deadline, the answer's slack and 50 ms, counted from its reading; the node tells its connections this limit at start and at a reload, on one loop and several. When a peer takes nothing for 2.25 s, its connection is read no further.

Bound: memory as before (16 KiB pause the reading, 160 KiB and 32 requests at most). Time: 2.25 s and the limit, as nothing is read that could extend it; two tests. A half frame: the limit behind the last whole frame.

--- a/src/net/connection_set.h
+++ b/src/net/connection_set.h
@@ -69,6 +69,10 @@
   void AnswerHealthCheck(core::StreamAddress to, bool good);
   void SetLoadSignal(std::optional<double> value) { load_signal_ = value; }
   void CloseIdle(std::chrono::milliseconds after);
+  // The time after its arrival within which each request is due to be answered at the latest. For this long,
+  // a connection whose peer stalls is kept for the answers that the peer has not taken. Applies to requests
+  // that are read from now on.
+  void SetAnswerDelayLimit(Steady::duration limit) { answer_delay_limit_ = limit; }
   // Sends a stop-new-requests frame on each open connection that has not had one.
   void StopNewRequests();
   // Reverts to normal operation after StopNewRequests() and CloseIdleForHandover().
@@ -93,6 +97,7 @@
     Descriptor socket;
     std::vector<OpenRequest> open_requests;
     std::string unsent_output;
+    Steady::time_point answers_due{};  // When the last answer that is owed is due.
     std::uint64_t request_count = 0;
     int malformed_count = 0;
     bool has_served = false;  // A request was served on the connection.
@@ -143,6 +148,7 @@
   Timer timeout_check_;
   Timer handover_sweep_;
   std::chrono::milliseconds idle_after_{0};
+  Steady::duration answer_delay_limit_{0};
   bool healthy_ = true;
   bool deep_checks_ = false;  // Deep checks are passed to Events::deep_check.
   bool stop_sent_ = false;
--- a/src/net/gateway/connection.cpp
+++ b/src/net/gateway/connection.cpp
@@ -1,6 +1,7 @@
 #include "net/gateway/connection.h"
 
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -43,6 +44,12 @@
 // would reset the connection, and the peer could lose the error frame.
 constexpr std::size_t kMaxDiscardedBytes = 4 << 20;
 
+// Bytes that the kernel has taken and the peer has not acknowledged.
+std::size_t UnacknowledgedBytes(evutil_socket_t fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 }  // namespace
 
 const char* ReasonCode(EndReason reason) {
@@ -151,6 +158,7 @@
     state.open_requests.push_back({stream, counts ? counts->name : std::string(), nullptr});
   }
   open_.clear();
+  state.answers_due = answers_due_;
   state.request_count = request_count_;
   state.malformed_count = malformed_count_;
   state.has_served = usage_ == Usage::kServed;
@@ -160,6 +168,7 @@
 
 void ConnectionSet::Connection::RestoreState(ConnectionSet::TransferState state) {
   for (auto& open : state.open_requests) open_.emplace(open.stream, std::move(open.counts));
+  answers_due_ = state.answers_due;
   request_count_ = state.request_count;
   malformed_count_ = state.malformed_count;
   usage_ = state.has_served ? Usage::kServed : state.request_count > 0 ? Usage::kFrames : Usage::kNone;
@@ -199,20 +208,35 @@
 
 bool ConnectionSet::Connection::IsEvictable() const { return StuckInFirstFrame() || CanCloseWithoutLoss(); }
 
-std::optional<EndReason> ConnectionSet::Connection::CheckTimeouts() {
-  if (closing_)
-    return ++framing_error_checks_ > kFramingErrorChecks ? std::optional(EndReason::kFraming) : std::nullopt;
+bool ConnectionSet::Connection::OwesAnswers() const {
+  if (Steady::now() >= answers_due_) return false;
+  return !open_.empty() || UnsentBytes(bev_.get()) > 0 ||
+         UnacknowledgedBytes(bufferevent_getfd(bev_.get())) > 0;
+}
+
+bool ConnectionSet::Connection::IsOutputStalled() {
   const std::size_t unsent = UnsentBytes(bev_.get());
   const std::uint64_t taken = output_bytes_ - unsent;
   stalled_output_checks_ =
       unsent == 0 || taken != std::exchange(last_sent_bytes_, taken) ? 0 : stalled_output_checks_ + 1;
-  if (stalled_output_checks_ > kStalledOutputChecks) return EndReason::kSlowReader;
+  return stalled_output_checks_ > kStalledOutputChecks;
+}
+
+std::optional<EndReason> ConnectionSet::Connection::CheckTimeouts() {
+  if (closing_) {
+    const bool overdue = ++framing_error_checks_ > kFramingErrorChecks;
+    return overdue && !OwesAnswers() ? std::optional(EndReason::kFraming) : std::nullopt;
+  }
+  if (IsOutputStalled()) {
+    if (!OwesAnswers()) return EndReason::kSlowReader;
+    PauseReading();
+  }
   const bool in_frame = bytes_to_skip_ > 0 || evbuffer_get_length(bufferevent_get_input(bev_.get())) > 0;
   if (reading_paused_ || read_deferred_ || (usage_ != Usage::kNone && !in_frame)) return std::nullopt;
   // Received bytes reset the silence limit, so that clients on a slow line, or that pause, are not closed.
   const bool quiet =
       ++silence_checks_ > (usage_ == Usage::kNone ? kFirstFrameSilenceChecks : kLaterFrameSilenceChecks);
-  if (++frame_checks_ <= kFrameChecks && !quiet) return std::nullopt;
+  if ((++frame_checks_ <= kFrameChecks && !quiet) || OwesAnswers()) return std::nullopt;
   return in_frame ? EndReason::kUnfinished : EndReason::kSilent;
 }
 
@@ -328,6 +352,7 @@
     return;
   }
   ++request_count_;
+  answers_due_ = Steady::now() + set_.answer_delay_limit_;
   proto::RequestFrame frame;
   const char* fault = too_long ? "too long" : proto::ParseRequest(payload, frame);
   const core::ClassCountsPtr counts = set_.events_.class_counts(frame.class_name);
@@ -379,10 +404,12 @@
   // A gateway that sends requests but does not read the answers: reading from it pauses first, and above
   // kMaxOutputBytes the connection is closed.
   if (unsent > kMaxOutputBytes) output_overflowed_ = true;
-  if (unsent > kOutputPauseBytes && !reading_paused_) {
-    reading_paused_ = true;
-    bufferevent_disable(bev_.get(), EV_READ);
-  }
+  if (unsent > kOutputPauseBytes) PauseReading();
+}
+
+void ConnectionSet::Connection::PauseReading() {
+  if (std::exchange(reading_paused_, true)) return;
+  bufferevent_disable(bev_.get(), EV_READ);
 }
 
 void ConnectionSet::Connection::OnOutputSent() {
--- a/src/net/gateway/connection.h
+++ b/src/net/gateway/connection.h
@@ -49,7 +49,9 @@
   bool MayBeEvictable() const;
 
   // Called periodically. Returns the reason to close the connection if a limit is exceeded: the peer is
-  // silent, stops within a frame, does not read answers, or does not close after a framing error.
+  // silent, stops within a frame, does not read answers, or does not close after a framing error. A
+  // connection on which answers are owed is kept until they are due. Reading pauses while the peer takes no
+  // output, so that a stalled peer cannot extend that time.
   std::optional<EndReason> CheckTimeouts();
 
   // Disables all callbacks and reports open requests and checks as disconnected. Returns the socket, which
@@ -60,6 +62,12 @@
   // The most valuable use of the connection so far. The enumerators are in ascending order of value; a
   // connection with a less valuable use is evicted first.
   enum class Usage { kNone, kFrames, kServed };
+  // Whether the peer may still receive an answer in time: one is outstanding, or the peer has not taken it,
+  // and the last one is not overdue.
+  bool OwesAnswers() const;
+  // Whether the peer has taken no output for longer than the limit.
+  bool IsOutputStalled();
+  void PauseReading();
   // True if the connection is idle and no part of a frame has been read.
   bool BetweenFrames() const;
   bool StuckInFirstFrame() const;
@@ -106,6 +114,7 @@
   bool output_overflowed_ = false;
   bool stop_sent_ = false;
   Steady::time_point last_used_;
+  Steady::time_point answers_due_{};  // When the last answer to a request that was read is due.
 };
 
 }  // namespace hingelink::net
--- a/src/net/gateway_front_end.h
+++ b/src/net/gateway_front_end.h
@@ -28,6 +28,8 @@
   // Restricts the thread of a loop to these CPUs. Returns false if that is not possible.
   virtual bool PinLoopToCpus(std::size_t loop, const std::vector<unsigned>& units) = 0;
 
+  // See ConnectionSet::SetAnswerDelayLimit().
+  virtual void SetAnswerDelayLimit(Steady::duration limit) = 0;
   // Sends a stop-new-requests frame on each open connection that has not had one.
   virtual void StopNewRequests() = 0;
   // `shared`: whether a sibling process holds descriptors that count towards the same limit, and will release
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -212,6 +212,8 @@
     classes_ = std::move(classes->classes);
   } else if (const auto* idle = std::get_if<CloseIdleConnections>(&command)) {
     connections_.CloseIdle(idle->after);
+  } else if (const auto* delay = std::get_if<LimitAnswerDelay>(&command)) {
+    connections_.SetAnswerDelayLimit(delay->limit);
   } else {
     switch (std::get<SimpleCommand>(command)) {
       case SimpleCommand::kStopNewRequests:
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -109,6 +109,10 @@
 struct CloseIdleConnections {
   std::chrono::milliseconds after{0};
 };
+// See ConnectionSet::SetAnswerDelayLimit().
+struct LimitAnswerDelay {
+  Steady::duration limit{0};
+};
 // Commands without parameters.
 enum class SimpleCommand {
   kStopNewRequests,
@@ -119,8 +123,9 @@
   kStopReading,
   kShutdown
 };
-using LoopCommand = std::variant<SendAnswer, AddConnection, AdoptConnection, ReleaseConnection,
-                                 SetHealthAndLoad, SetClasses, CloseIdleConnections, SimpleCommand>;
+using LoopCommand =
+    std::variant<SendAnswer, AddConnection, AdoptConnection, ReleaseConnection, SetHealthAndLoad, SetClasses,
+                 CloseIdleConnections, LimitAnswerDelay, SimpleCommand>;
 
 // Owns its thread, its connections and both channels. All public methods are called on the node's main
 // thread.
--- a/src/net/loop_group.cpp
+++ b/src/net/loop_group.cpp
@@ -195,6 +195,10 @@
   for (std::size_t i = 0; i < members_.size(); ++i) Send(i, CloseIdleConnections{after});
 }
 
+void LoopGroup::SetAnswerDelayLimit(Steady::duration limit) {
+  for (std::size_t i = 0; i < members_.size(); ++i) Send(i, LimitAnswerDelay{limit});
+}
+
 void LoopGroup::SendToAll(SimpleCommand command) {
   for (std::size_t i = 0; i < members_.size(); ++i) Send(i, command);
 }
--- a/src/net/loop_group.h
+++ b/src/net/loop_group.h
@@ -46,6 +46,7 @@
   void AnswerHealthCheck(core::StreamAddress to, bool healthy) override;
   void SetLoadSignal(double value) override;
   void CloseIdle(std::chrono::milliseconds after) override;
+  void SetAnswerDelayLimit(Steady::duration limit) override;
   void StopNewRequests() override { SendToAll(SimpleCommand::kStopNewRequests); }
   void SetMaxConnections(std::size_t max_connections, bool shared) override;
   void PauseListening() override;
--- a/src/net/single_loop_front_end.h
+++ b/src/net/single_loop_front_end.h
@@ -19,6 +19,7 @@
   void AnswerHealthCheck(core::StreamAddress to, bool good) override { set_.AnswerHealthCheck(to, good); }
   void SetLoadSignal(double value) override { set_.SetLoadSignal(value); }
   void CloseIdle(std::chrono::milliseconds after) override { set_.CloseIdle(after); }
+  void SetAnswerDelayLimit(Steady::duration limit) override { set_.SetAnswerDelayLimit(limit); }
   void StopNewRequests() override { set_.StopNewRequests(); }
   void SetMaxConnections(std::size_t max_connections, bool shared) override;
   void PauseListening() override;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -35,6 +35,8 @@
 // How long a process that has nothing else left waits for its siblings to read its messages. A sibling that
 // needs longer hangs.
 constexpr auto kSiblingReadTimeout = 2s;
+// How much later than in the settings an answer may arrive on a socket.
+constexpr Millis kSocketGrace{50};
 constexpr std::size_t kMaxThreads = 64;
 // Budget of the extensions in a batch without requests.
 constexpr BatchBudget kIdleBudget{.events = 64, .work = 1ms};
@@ -114,6 +116,7 @@
                             UpdateSiblingKeys();
                           }),
       drain_timer_(base_.get(), [] {}) {
+  front_->SetAnswerDelayLimit(AnswerDelayLimit());
   ConnectStore(config_.store_address);
   OnSiblingLoadChanged();
   UpdateSiblingKeys();
@@ -203,6 +206,13 @@
           .max_result_bytes = static_cast<std::size_t>(kResultsFraction * bytes)};
 }
 
+Node::Steady::duration Node::AnswerDelayLimit() const {
+  Millis longest{0};
+  for (const auto& c : config_.settings.classes) longest = std::max(longest, Millis(c.deadline_ms));
+  return std::chrono::duration_cast<Steady::duration>(longest + Millis(config_.settings.answer_grace_ms) +
+                                                      kSocketGrace);
+}
+
 std::unique_ptr<net::GatewayFrontEnd> Node::CreateFront() {
   const sockaddr_in listen = net::ParseAddress(config_.listen_address);
   const auto sockets = static_cast<std::size_t>(config_.max_descriptors);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -169,6 +169,8 @@
   UpstreamCalls::Links UpstreamLinks();
   void ConnectStore(const std::string& address);
   KeyTable::Limits KeyLimits() const;
+  // The time after its arrival within which each request is due to be answered at the latest.
+  Steady::duration AnswerDelayLimit() const;
 
   SiblingProcesses sibling_processes_{*this};
   std::vector<NodeExtension*> extensions_{&sibling_processes_};
--- a/src/node/node_drain.cpp
+++ b/src/node/node_drain.cpp
@@ -91,6 +91,7 @@
     table_.Reconfigure();
     metrics_.SetClasses(config_.settings.classes);
     front_->ClassesChanged();
+    front_->SetAnswerDelayLimit(AnswerDelayLimit());
     metrics_.CountReload(true);
     OnSiblingLoadChanged();
     if (std::exchange(config_.pool_address, reloaded.pool_address) != reloaded.pool_address)
--- a/tests/net/connection_lifecycle_test.cpp
+++ b/tests/net/connection_lifecycle_test.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -365,6 +366,151 @@
   EXPECT_EQ(requests_.size(), kMaxOpenRequests);
 }
 
+// ---- A peer that is cut off while answers are owed ----
+
+class StalledPeerTest : public ConnectionLifecycleTest {
+ protected:
+  // Checks run every 250 ms, and a stall is noticed after nine of them.
+  static constexpr auto kStallTime = 2'250ms;
+  static constexpr auto kCheckInterval = 250ms;
+
+  // Runs the loop for so long.
+  void RunFor(std::chrono::milliseconds span) {
+    const auto until = Steady::now() + span;
+    RunUntil([until] { return Steady::now() >= until; });
+  }
+  // Sends requests and answers all but the last, with more bytes than the socket buffers hold.
+  Peer ConnectWithUnreadAnswers(std::uint32_t requests) {
+    Peer peer = Connect();
+    std::string frames;
+    for (std::uint32_t stream = 1; stream <= requests; ++stream)
+      frames += Gateway::Request(stream, "00000000000000a1", "x");
+    peer.gateway.Write(frames);
+    RunUntil([&] { return requests_.size() == requests; });
+    for (std::uint32_t i = 0; i + 1 < requests; ++i)
+      set_->Deliver(requests_[i], core::Served(std::string(4096, 'r')));
+    return peer;
+  }
+};
+
+// Guards against answers to executed requests that are lost, because the connection of a gateway that took no
+// byte for 2 s was closed with answers unsent and requests open.
+TEST_F(StalledPeerTest, PeerThatReadsAgainInTimeGetsAllAnswers) {
+  constexpr std::uint32_t kRequests = 10;
+  set_->SetAnswerDelayLimit(10s);
+  Peer peer = ConnectWithUnreadAnswers(kRequests);
+  RunFor(kStallTime + 1s);
+  Answer(kRequests - 1, "last");
+  EXPECT_TRUE(disconnected_.empty());
+  std::uint32_t answered = 0;
+  std::thread reader([&] {
+    for (; answered < kRequests; ++answered) {
+      const Frame frame = peer.gateway.ReadAnswer(answered + 1, peers::kServed);
+      if (frame.body.size() != (answered + 1 < kRequests ? 4096u : 4u)) return;
+    }
+    peer.gateway.Write(Gateway::Request(kRequests + 1, "00000000000000a2", "next"));
+  });
+  // The connection works on.
+  RunUntil([&] { return requests_.size() == kRequests + 1; });
+  reader.join();
+  EXPECT_EQ(answered, kRequests);
+}
+
+// What a peer that reads nothing can hold is bounded: no request is read after the stall, and the connection
+// is closed once all answers are overdue.
+TEST_F(StalledPeerTest, PeerThatNeverReadsIsClosedOnceItsAnswersAreOverdue) {
+  constexpr auto kAnswerDelayLimit = 1'000ms;
+  constexpr std::uint32_t kRequests = 32;
+  set_->SetAnswerDelayLimit(kAnswerDelayLimit);
+  Peer peer = ConnectWithUnreadAnswers(kRequests);
+  const auto stalled = Steady::now();
+  // Small enough answers are buffered without pausing the reads.
+  std::uint32_t stream = kRequests;
+  while (set_->size() > 0 && Steady::now() < stalled + 20s) {
+    peer.gateway.socket().TryWrite(Gateway::Request(++stream, "00000000000000a2", "x"));
+    RunFor(100ms);
+  }
+  EXPECT_EQ(set_->size(), 0u);
+  // One interval until the first check, one until the last.
+  EXPECT_LT(Steady::now() - stalled, kStallTime + kAnswerDelayLimit + 2 * kCheckInterval + 500ms);
+  EXPECT_EQ(requests_.size(), kRequests);
+  EXPECT_EQ(disconnected_, std::vector<core::StreamAddress>{requests_.back()});
+}
+
+// The same while little output is unsent, so that reading has not paused by itself: requests that arrive
+// before the stall is noticed are read, later ones are not, and they do not extend the time of the
+// connection.
+TEST_F(StalledPeerTest, RequestsOfAStalledPeerDoNotKeepItsConnectionOpen) {
+  constexpr auto kAnswerDelayLimit = 1'000ms;
+  set_->SetAnswerDelayLimit(kAnswerDelayLimit);
+  // The answers exceed what the kernel takes by less than what pauses reading.
+  Peer peer = Connect();
+  std::uint32_t stream = 0;
+  while (set_->TakeSnapshots(1).at(0).unsent_bytes == 0) {
+    peer.gateway.Write(Gateway::Request(++stream, "00000000000000a1", "x"));
+    RunUntil([&] { return requests_.size() == stream; });
+    Answer(stream - 1, std::string(1024, 'r'));
+  }
+  const auto stalled = Steady::now();
+  while (set_->size() > 0 && Steady::now() < stalled + 20s) {
+    peer.gateway.socket().TryWrite(Gateway::Request(++stream, "00000000000000a2", "x"));
+    RunFor(100ms);
+  }
+  EXPECT_EQ(set_->size(), 0u);
+  EXPECT_LT(Steady::now() - stalled, kStallTime + kAnswerDelayLimit + 2 * kCheckInterval + 500ms);
+}
+
+// The cut comes in the middle of a frame: after 5 s without a byte, the connection is only closed once
+// nothing is owed on it.
+TEST_F(StalledPeerTest, PeerCutOffWithinAFrameGetsTheAnswersThatAreOwed) {
+  constexpr auto kLaterFrameSilence = 5s;
+  set_->SetAnswerDelayLimit(9s);
+  Peer peer = ConnectUsed();
+  const std::string next = Gateway::Request(2, "00000000000000a2", "y");
+  peer.gateway.Write(Gateway::Request(1, "00000000000000a1", "x") + next.substr(0, next.size() / 2));
+  RunUntil([&] { return requests_.size() == 1; });
+  RunFor(kLaterFrameSilence + 1s);
+  EXPECT_TRUE(disconnected_.empty());
+  Answer(0, "served");
+  EXPECT_EQ(peer.gateway.ReadAnswer(1, peers::kServed).body, "served");
+  // Nothing is owed any more.
+  RunUntil([&] { return set_->size() == 0 || peer.gateway.socket().HasInput(0); });
+  EXPECT_TRUE(peer.gateway.socket().ClosedCleanly());
+}
+
+// The cut frame comes whole before the answers are due: the connection works on.
+TEST_F(StalledPeerTest, FrameThatIsCompletedAfterACutIsRead) {
+  set_->SetAnswerDelayLimit(9s);
+  Peer peer = ConnectUsed();
+  const std::string next = Gateway::Request(2, "00000000000000a2", "y");
+  peer.gateway.Write(Gateway::Request(1, "00000000000000a1", "x") + next.substr(0, next.size() / 2));
+  RunUntil([&] { return requests_.size() == 1; });
+  RunFor(5s + 1s);
+  peer.gateway.Write(next.substr(next.size() / 2));
+  RunUntil([&] { return requests_.size() == 2; });
+  Answer(0, "first");
+  Answer(1, "second");
+  EXPECT_EQ(peer.gateway.ReadAnswer(1, peers::kServed).body, "first");
+  EXPECT_EQ(peer.gateway.ReadAnswer(2, peers::kServed).body, "second");
+}
+
+// The answers that a framing error ends are owed, too, and the peer gets 1 s to read them only once they are
+// overdue.
+TEST_F(StalledPeerTest, AnswersBeforeAFramingErrorAreOwed) {
+  constexpr std::uint32_t kRequests = 10;
+  constexpr int kUnknownType = 77;
+  set_->SetAnswerDelayLimit(10s);
+  Peer peer = ConnectWithUnreadAnswers(kRequests - 1);
+  peer.gateway.Write(Gateway::Encode(kUnknownType, 1, "x"));
+  RunFor(2s);
+  std::uint32_t answered = 0;
+  std::thread reader([&] {
+    for (; answered + 2 < kRequests; ++answered) peer.gateway.ReadAnswer(answered + 1, peers::kServed);
+  });
+  RunUntil([&] { return answered + 2 == kRequests; });
+  reader.join();
+}
+
 // ---- A flood at the descriptor limit ----
 
 class FloodTest : public testing::Test {
--- a/tests/node/network_cut_test.cpp
+++ b/tests/node/network_cut_test.cpp
@@ -54,5 +54,37 @@
   EXPECT_EQ(deployment.CountsOfPool(0).wrong_replies, 0u);
 }
 
+// Guards against answers to executed requests that are lost: a gateway that took no byte for 2 s was closed
+// with answers unsent, although they were due later.
+TEST(NetworkCut, GatewayThatIsCutOffForAMomentGetsAllAnswersThatAreDueLater) {
+  // As many requests as a connection carries, each with a result of the longest kind.
+  constexpr std::uint32_t kRequests = 32;
+  constexpr std::size_t kResultBytes = 4'096;
+  // Longer than the limit for a peer that takes nothing, and shorter than the time until the answers are due.
+  constexpr auto kCut = 2'700ms;
+  // Slow enough that a node that has just started sheds no load.
+  constexpr auto kSendInterval = 15ms;
+  constexpr std::uint64_t kDueMs = 4'000 + 150;
+  Deployment deployment({.nodes = 1, .tenant_quota_rps = 1e6});
+  // While a network is cut, nothing is acknowledged, and a sender holds at most its own buffer. On loopback
+  // the receiver's system acknowledges in its place: it takes as little as the system allows, in segments as
+  // long as on Ethernet.
+  ScriptedGateway gateway(deployment.ListenOf(0),
+                          {.receive_buffer_bytes = 2'048, .max_segment_bytes = 1'448});
+  const std::string body = WorkBody(Millis(5), "x", {.result_bytes = kResultBytes});
+  const std::uint64_t sent_at = ScriptedGateway::UnixMs();
+  for (std::uint32_t stream = 1; stream <= kRequests; ++stream) {
+    gateway.Write(Request("match", stream, body));
+    std::this_thread::sleep_for(kSendInterval);
+  }
+  std::this_thread::sleep_for(kCut);
+  for (std::uint32_t i = 0; i < kRequests; ++i) {
+    const Frame answer = gateway.Read();
+    EXPECT_EQ(answer.code, kServed);
+    EXPECT_TRUE(answer.body == ResultOf(answer.stream, body)) << answer.stream;
+  }
+  EXPECT_LE(ScriptedGateway::UnixMs(), sent_at + kDueMs);
+}
+
 }  // namespace
 }  // namespace hingelink::standin
--- a/tests/node/scripted_peers.h
+++ b/tests/node/scripted_peers.h
@@ -88,6 +88,10 @@
     }
     return ReadLine();
   }
+  // Writes what the kernel takes at once. A peer that has closed is no error.
+  void TryWrite(std::string_view bytes) const {
+    send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
   // Waits for input; whether the peer closes without a reset and sends no further byte.
   bool ClosedCleanly() {
     char byte;
