Keys: a key whose window has just ended is still reported to a successor

Callers could see: a claim run twice when its window ended during a handover and a repeated attempt, sent in time, was read afterwards (found by reading in the review, not seen on a deployment).

Cause: UpdateOf reported a retained key past its window with no remaining time, which means that the key is free. Its record is kept for the longest deadline more, for the attempts of the window that are read late.

Change: a retained key is reported with at least 1 ms, so that the successor keeps its record as long. Bound: as for any key, its window and the longest deadline.

--- a/src/node/keys/key_table.cpp
+++ b/src/node/keys/key_table.cpp
@@ -8,6 +8,10 @@
 // Delay until the eviction of an expired key is tried again, if an attempt with the key is still in flight.
 constexpr std::chrono::seconds kEvictionRetryInterval{1};
 
+// Reported at least for a retained key. A key whose window has just ended still answers attempts that arrived
+// within it, and no remaining time at all would mean that the key is free.
+constexpr KeyTable::Millis kMinRemaining{1};
+
 // Capacity including the keys of other processes, as a multiple of Limits::max_keys.
 constexpr std::size_t kRemoteCapacityFactor = 2;
 
@@ -162,7 +166,7 @@
   return {.key = key,
           .content_hash = record.content_hash,
           .state = record.state,
-          .remaining = record.retained ? std::max(Millis(0), Millis(record.window_end - now)) : Millis(0),
+          .remaining = record.retained ? std::max(kMinRemaining, Millis(record.window_end - now)) : Millis(0),
           .result = record.result};
 }
 
--- a/tests/node/key_table_test.cpp
+++ b/tests/node/key_table_test.cpp
@@ -57,6 +57,29 @@
   EXPECT_EQ(table.Add(3), 0u);
 }
 
+// Guards against a key that runs twice: its window ends during a handover, and an attempt that arrived within
+// the window is read later.
+TEST(KeyTable, KeyIsReportedAfterItsWindowAsLongAsAnAttemptOfTheWindowMayBeRead) {
+  Table predecessor, successor;
+  predecessor.Add(1);
+  predecessor.RetainFor(1);
+  ASSERT_TRUE(predecessor.Start(kKey, 1));
+  predecessor.Finish(kKey, 1, true, "done");
+  predecessor.RemoveAttempt(kKey, 1);
+  const KeyTable::Time arrived = predecessor.now + 9'999ms;
+  successor.now = predecessor.now + 11s;
+  predecessor.ForEachRetained(successor.now, [&](const KeyUpdate& update) {
+    successor.ApplyUpdate(update, kMaxDelay, successor.now);
+  });
+  EXPECT_NE(successor.AddAttempt(kKey, 1, 2, arrived, successor.now), 0u);
+  ASSERT_EQ(successor.FindReplay(kKey).status, Status::kResult);
+  EXPECT_EQ(*successor.FindReplay(kKey).result, "done");
+  successor.RemoveAttempt(kKey, 2);
+  // A later attempt is a new request.
+  successor.now += 10ms;
+  EXPECT_EQ(successor.Add(3), 0u);
+}
+
 TEST(KeyTable, FailedKeyNeverRunsAgainEvenIfThePolicyReleasesIt) {
   Table table;
   table.Add(1);
