Store client tests: the stand-in listens where no other process can take its port

Cause: a store that is down frees its port on 127.0.0.1, and another test beside it drew the same one. The log shows refusals first and, 4 s later, connections that are established and lost.

Change: the tests' store listens at standin::OwnAddress(), whose addresses no other process uses. No check, bound or time changed.

--- a/tests/net/store_client_test.cpp
+++ b/tests/net/store_client_test.cpp
@@ -11,6 +11,7 @@
 #include "cut_off_listener.h"
 #include "proto/pool_lines.h"
 #include "proto/tokenizer.h"
+#include "standin/own_address.h"
 #include "standin/store.h"
 
 namespace hingelink::net {
@@ -56,13 +57,18 @@
     Outcome outcome;
     std::string reply;
   };
-  explicit StoreClientTest(const StoreOptions& options = {}) : store(base.get(), options) {
+  explicit StoreClientTest(const StoreOptions& options = {}) : store(base.get(), AtOwnAddress(options)) {
     client.emplace(base.get(), ParseAddress(store.address()), 7,
                    [this](std::uint64_t req, Outcome outcome, Millis, std::string_view reply) {
                      EXPECT_EQ(results.count(req), 0u) << "ended twice";
                      results[req] = {outcome, std::string(reply)};
                    });
   }
+  // No other process takes the address while the store is down.
+  static StoreOptions AtOwnAddress(StoreOptions options) {
+    options.listen = standin::OwnAddress();
+    return options;
+  }
   void RunUntil(const std::function<bool()>& done, std::chrono::seconds timeout = 20s) {
     const auto end = Steady::now() + timeout;
     while (!done() && Steady::now() < end) {
